Add the design page, the workspace and the interface of the decision package

The repository was empty. The design page states requirements, modules, state, messages and behaviour under failure. The engine's interface (events in, commands out) stands with a minimal request path, so that the daemon and the stand-ins can be built against it while routing and membership are written.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,13 @@
+import neostandard, { plugins } from 'neostandard'
+
+export default [
+  { ignores: ['**/dist/**', '**/gen/**', 'out/**', 'examples/**/out/**'] },
+  ...neostandard({ ts: true }),
+  {
+    files: ['**/*.ts'],
+    plugins: { '@typescript-eslint': plugins['typescript-eslint'].plugin },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': ['error', { prefer: 'type-imports', fixStyle: 'separate-type-imports' }]
+    }
+  }
+]
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/peer_pb.js'
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,45 @@
+import { defineConfig } from 'vitest/config'
+
+const resolve = { conditions: ['source', 'module', 'node', 'import', 'default'] }
+const ssr = { resolve }
+
+/** Unit tests run on a paused clock; `real` and `processes` tests use the runtime's clock. */
+export default defineConfig({
+  test: {
+    reporters: ['default', './scripts/count-reporter.ts'],
+    projects: [
+      {
+        resolve,
+        ssr,
+        test: {
+          name: 'unit',
+          include: ['packages/*/tests/**/*.test.ts'],
+          exclude: ['packages/*/tests/real/**', 'packages/*/tests/processes/**', '**/node_modules/**'],
+          setupFiles: ['./scripts/paused-clock.ts', './scripts/fixed-seed.ts']
+        }
+      },
+      {
+        resolve,
+        ssr,
+        test: {
+          name: 'real',
+          include: ['packages/*/tests/real/**/*.test.ts'],
+          setupFiles: ['./scripts/fixed-seed.ts'],
+          testTimeout: 20_000
+        }
+      },
+      {
+        resolve,
+        ssr,
+        test: {
+          name: 'processes',
+          include: ['packages/*/tests/processes/**/*.test.ts'],
+          setupFiles: ['./scripts/fixed-seed.ts'],
+          fileParallelism: false,
+          testTimeout: 60_000,
+          hookTimeout: 60_000
+        }
+      }
+    ]
+  }
+})
