Add the policy benchmark

It replays one trace per setting on a paused clock through the engines of seven entry instances and through five baselines, with the delays and sizes of both users, slow spells, uploads, a lost region and a drain.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {}
+export * from './policy/virtual-time.js'
--- /dev/null
+++ b/packages/bench/src/policy/node-fake.ts
@@ -0,0 +1,219 @@
+/**
+ * One entry instance in a replay: its engine, and the exchanges that carry out the engine's commands over virtual
+ * time and fake upstreams.
+ */
+import type { Command, Dispatch, Engine, Event, Forward, RequestArrived } from '@arbutustray/core'
+import type { Profile } from './profile.js'
+import type { Site } from './site.js'
+import type { VirtualTime } from './virtual-time.js'
+import type { Work } from './upstream-fake.js'
+import { createEngine } from '@arbutustray/core'
+import { delayMs } from './profile.js'
+
+/** How a request ended at a node. */
+export type End =
+  | { readonly type: 'answered', readonly reason: string }
+  | { readonly type: 'refused' | 'unknown', readonly reason: string }
+
+/** A request that a node works on. */
+export interface Exchange {
+  readonly workMs: number
+  readonly onStart: () => void
+  readonly onEnd: (end: End) => void
+}
+
+export interface NodeFake {
+  readonly id: string
+  readonly zone: string
+  readonly engine: Engine
+  readonly alive: () => boolean
+  readonly deliver: (event: Event) => void
+  readonly accept: (event: RequestArrived, exchange: Exchange) => void
+  readonly crash: () => void
+  readonly restart: () => void
+}
+
+export interface NodeFakeOptions {
+  readonly id: string
+  readonly zone: string
+  readonly time: VirtualTime
+  readonly profile: Profile
+  readonly site: Site
+  readonly seed: number
+  readonly peer: (id: string) => NodeFake | undefined
+}
+
+/** Time until a sender notices that a receiver is gone. */
+const CONNECT_TIMEOUT_MS = 200
+
+type Carriers = { readonly [T in Command['type']]?: (command: Extract<Command, { type: T }>) => void }
+
+/** Creates a node. It ticks from its creation until the end of the replay. */
+export function createNodeFake (options: NodeFakeOptions): NodeFake {
+  const { time, profile, site } = options
+  let incarnation = 0
+  let engine = start()
+  let alive = true
+  let exchanges = new Map<string, Exchange>()
+  let cancels = new Map<string, () => void>()
+
+  function start (): Engine {
+    incarnation += 1
+    return createEngine({
+      self: {
+        id: options.id,
+        zone: options.zone,
+        address: options.id,
+        peerAddress: options.id,
+        incarnation: `${options.id}.${incarnation}`
+      },
+      seed: options.seed
+    })
+  }
+
+  /** Delivers an event to the incarnation that asked for it; a later one never sees it. */
+  function deliverTo (target: number, event: Event): void {
+    if (alive && target === incarnation) deliver(event)
+  }
+
+  function deliver (event: Event): void {
+    if (!alive) return
+    for (const command of engine.handle(event)) carry(command)
+  }
+
+  function carry (command: Command): void {
+    const carrier = carriers[command.type] as ((command: Command) => void) | undefined
+    carrier?.(command)
+  }
+
+  function finish (requestId: string, end: End): void {
+    const exchange = exchanges.get(requestId)
+    exchanges.delete(requestId)
+    exchange?.onEnd(end)
+  }
+
+  function answer (target: number, attemptId: string): void {
+    cancels.delete(attemptId)
+    deliverTo(target, { type: 'attempt-answered', attemptId, status: 200 })
+    deliverTo(target, { type: 'attempt-finished', attemptId })
+  }
+
+  function dispatch (command: Dispatch): void {
+    const target = incarnation
+    const { attemptId } = command
+    const exchange = exchanges.get(command.requestId)
+    const upstream = site.find(command.upstreamId)
+    if (exchange === undefined || upstream === undefined) return
+    const delay = delayMs(profile, options.zone, upstream.zone)
+    if (!upstream.alive()) {
+      time.after(CONNECT_TIMEOUT_MS, () => deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'not-written' }))
+      return
+    }
+    time.after(0, () => deliverTo(target, { type: 'attempt-written', attemptId }))
+    const work: Work = {
+      workMs: exchange.workMs,
+      onStart: exchange.onStart,
+      onDone: () => time.after(delay, () => answer(target, attemptId)),
+      onShed: () => time.after(delay, () => deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'shed' }))
+    }
+    cancels.set(attemptId, () => time.after(delay, () => upstream.cancel(work)))
+    time.after(delay, () => {
+      if (upstream.alive()) upstream.accept(work)
+      else time.after(CONNECT_TIMEOUT_MS, () => deliverTo(target, { type: 'attempt-failed', attemptId, truncated: false }))
+    })
+  }
+
+  function forward (command: Forward): void {
+    const target = incarnation
+    const { attemptId } = command
+    const exchange = exchanges.get(command.requestId)
+    const peer = options.peer(command.instanceId)
+    if (exchange === undefined) return
+    if (peer === undefined || !peer.alive()) {
+      time.after(CONNECT_TIMEOUT_MS, () => deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'not-written' }))
+      return
+    }
+    const delay = delayMs(profile, options.zone, peer.zone)
+    const requestId = `${options.id}/${incarnation}/${attemptId}`
+    time.after(0, () => deliverTo(target, { type: 'attempt-written', attemptId }))
+    cancels.set(attemptId, () => time.after(delay, () => peer.deliver({ type: 'request-cancelled', requestId })))
+    time.after(delay, () => {
+      if (!peer.alive()) {
+        time.after(CONNECT_TIMEOUT_MS, () => deliverTo(target, { type: 'attempt-failed', attemptId, truncated: false }))
+        return
+      }
+      peer.accept({ ...arrivals.get(command.requestId)!, requestId, timeoutMs: command.timeoutMs, forwarded: { instanceId: options.id, originZone: command.originZone, tenant: command.tenant, keyHome: command.keyHome } }, {
+        ...exchange,
+        onEnd: end => time.after(delay, () => endForward(target, attemptId, end))
+      })
+    })
+  }
+
+  function endForward (target: number, attemptId: string, end: End): void {
+    if (end.type === 'answered') answer(target, attemptId)
+    else if (end.type === 'refused') deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'shed' })
+    else deliverTo(target, { type: 'attempt-failed', attemptId, truncated: false })
+  }
+
+  let arrivals = new Map<string, RequestArrived>()
+
+  const carriers: Carriers = {
+    dispatch,
+    forward,
+    'cancel-attempt': command => {
+      cancels.get(command.attemptId)?.()
+      cancels.delete(command.attemptId)
+    },
+    relay: command => finish(command.requestId, { type: 'answered', reason: command.reason }),
+    replay: command => finish(command.requestId, { type: 'answered', reason: 'replayed' }),
+    respond: command => finish(command.requestId, {
+      type: command.outcome === 'not-run' ? 'refused' : 'unknown',
+      reason: command.reason
+    }),
+    reset: command => finish(command.requestId, { type: 'unknown', reason: command.reason }),
+    'send-heartbeat': command => {
+      const peer = options.peer(command.instanceId)
+      if (peer === undefined || !peer.alive()) return
+      const delay = delayMs(profile, options.zone, peer.zone)
+      time.after(delay, () => peer.deliver({ type: 'heartbeat-received', heartbeat: command.heartbeat }))
+    }
+  }
+
+  function forget (): readonly Exchange[] {
+    const lost = [...exchanges.values()]
+    exchanges = new Map()
+    arrivals = new Map()
+    cancels = new Map()
+    return lost
+  }
+
+  return {
+    id: options.id,
+    zone: options.zone,
+    get engine () { return engine },
+    alive: () => alive,
+    deliver,
+    accept: (event, exchange) => {
+      exchanges.set(event.requestId, {
+        ...exchange,
+        onEnd: end => {
+          arrivals.delete(event.requestId)
+          exchange.onEnd(end)
+        }
+      })
+      arrivals.set(event.requestId, event)
+      deliver(event)
+    },
+    crash: () => {
+      alive = false
+      const lost = forget()
+      time.after(CONNECT_TIMEOUT_MS, () => {
+        for (const exchange of lost) exchange.onEnd({ type: 'unknown', reason: 'instance-lost' })
+      })
+    },
+    restart: () => {
+      engine = start()
+      alive = true
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policy/plot.ts
@@ -0,0 +1,37 @@
+/**
+ * Draws the p99 of each policy as an SVG bar chart.
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import type { TopLevelSpec } from 'vega-lite'
+import type { UserFigures } from './scenarios.js'
+import { View, parse } from 'vega'
+import { compile } from 'vega-lite'
+
+function createSpec (title: string, p99: UserFigures['p99']): TopLevelSpec {
+  const values = Object.entries(p99).flatMap(([policy, settings]) =>
+    Object.entries(settings)
+      .filter(([setting]) => setting.startsWith('calm') || setting.startsWith('straggling'))
+      .map(([setting, ms]) => ({ policy, setting, ms })))
+  return {
+    $schema: 'https://vega.github.io/schema/vega-lite/v6.json',
+    title,
+    data: { values },
+    mark: 'bar',
+    encoding: {
+      x: { field: 'setting', type: 'nominal', title: null },
+      xOffset: { field: 'policy' },
+      y: { field: 'ms', type: 'quantitative', title: 'p99 of short requests (ms)', scale: { type: 'log' } },
+      color: { field: 'policy', type: 'nominal' }
+    }
+  }
+}
+
+/** Writes one SVG file for each user into the folder, which is created if it is missing. */
+export async function plotUsers (folder: string, users: Readonly<Record<string, UserFigures>>): Promise<void> {
+  await mkdir(folder, { recursive: true })
+  for (const [name, { p99 }] of Object.entries(users)) {
+    const view = new View(parse(compile(createSpec(name, p99)).spec), { renderer: 'none' })
+    await writeFile(join(folder, `policy-${name}.svg`), await view.toSVG())
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policy/random.ts
@@ -0,0 +1,25 @@
+/**
+ * Seeded draws for traces.
+ */
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand'
+
+export interface Random {
+  /** Uniform in (0, 1]. */
+  readonly uniform: () => number
+  /** Exponential with the given mean. */
+  readonly exponential: (mean: number) => number
+  readonly pick: <T>(items: readonly T[]) => T
+}
+
+const RANGE = 2 ** 31
+
+/** Creates a generator; the same seed gives the same draws. */
+export function createRandom (seed: number): Random {
+  const generator = xoroshiro128plus(seed)
+  const uniform = (): number => (unsafeUniformIntDistribution(0, RANGE - 1, generator) + 1) / RANGE
+  return {
+    uniform,
+    exponential: mean => -Math.log(uniform()) * mean,
+    pick: items => items[unsafeUniformIntDistribution(0, items.length - 1, generator)]!
+  }
+}
--- /dev/null
+++ b/packages/bench/src/policy/result-file.ts
@@ -0,0 +1,27 @@
+/**
+ * The previous result of the policy benchmark, kept in the repository as one of the baselines.
+ */
+import { readFile, writeFile } from 'node:fs/promises'
+import type { UserFigures } from './scenarios.js'
+import { SYSTEM } from './replay.js'
+
+/** p99 of short requests in milliseconds, by user and setting. */
+export type PreviousResult = Readonly<Record<string, Readonly<Record<string, number>>>>
+
+const FILE = new URL('../../results/policy.json', import.meta.url)
+
+/** Reads the kept result; empty if there is none. */
+export async function readPrevious (): Promise<PreviousResult> {
+  try {
+    return JSON.parse(await readFile(FILE, 'utf8')) as PreviousResult
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code === 'ENOENT') return {}
+    throw error
+  }
+}
+
+/** Replaces the kept result. */
+export async function writeResult (users: Readonly<Record<string, UserFigures>>): Promise<void> {
+  const result = Object.fromEntries(Object.entries(users).map(([name, { p99 }]) => [name, p99[SYSTEM]]))
+  await writeFile(FILE, `${JSON.stringify(result, undefined, 2)}\n`)
+}
--- /dev/null
+++ b/packages/bench/src/policy/upstream-fake.ts
@@ -0,0 +1,128 @@
+/**
+ * A fake upstream: slots, slow spells, a cold start, and either shedding or a queue once the slots are full.
+ */
+import type { Spell } from './trace.js'
+import type { VirtualTime } from './virtual-time.js'
+import { SPELL_SLOWDOWN } from './trace.js'
+
+export interface UpstreamFakeOptions {
+  readonly id: string
+  readonly service: string
+  readonly zone: string
+  readonly slots: number
+  readonly spells: readonly Spell[]
+  readonly whenFull: 'shed' | 'queue'
+}
+
+/** One piece of work; exactly one of the callbacks is called, unless it is cancelled. */
+export interface Work {
+  readonly workMs: number
+  /** Called when the work gets a slot. */
+  readonly onStart: () => void
+  readonly onDone: () => void
+  readonly onShed: () => void
+}
+
+export interface UpstreamFake {
+  readonly id: string
+  readonly service: string
+  readonly zone: string
+  readonly slots: number
+  readonly running: () => number
+  readonly shed: () => number
+  /** Work started since the creation. */
+  readonly started: () => number
+  readonly accept: (work: Work) => void
+  readonly cancel: (work: Work) => void
+  /** Loses all work, as a crash does, and returns it. */
+  readonly crash: () => readonly Work[]
+  /** Starts again with a cold cache. */
+  readonly restart: () => void
+  readonly alive: () => boolean
+}
+
+/** Work takes this much longer while the cache is cold. */
+const COLD_SLOWDOWN = 2
+const COLD_MS = 3_000
+
+/** Time at which work that starts at `start` ends, given the slow spells. */
+export function finishTime (spells: readonly Spell[], start: number, workMs: number): number {
+  let at = start
+  let left = workMs
+  for (const spell of spells) {
+    if (spell.to <= at) continue
+    if (spell.from > at) {
+      const normal = spell.from - at
+      if (left <= normal) return at + left
+      left -= normal
+      at = spell.from
+    }
+    const slow = (spell.to - at) / SPELL_SLOWDOWN
+    if (left <= slow) return at + left * SPELL_SLOWDOWN
+    left -= slow
+    at = spell.to
+  }
+  return at + left
+}
+
+/** Creates an upstream on virtual time. */
+export function createUpstreamFake (time: VirtualTime, options: UpstreamFakeOptions): UpstreamFake {
+  const running = new Set<Work>()
+  const queue: Work[] = []
+  let shed = 0
+  let started = 0
+  let alive = true
+  let coldUntil = 0
+
+  function start (work: Work): void {
+    running.add(work)
+    started += 1
+    work.onStart()
+    const workMs = time.now() < coldUntil ? work.workMs * COLD_SLOWDOWN : work.workMs
+    time.after(finishTime(options.spells, time.now(), workMs) - time.now(), () => {
+      if (!running.delete(work)) return
+      work.onDone()
+      startNext()
+    })
+  }
+
+  function startNext (): void {
+    const next = queue.shift()
+    if (next !== undefined) start(next)
+  }
+
+  function refuse (work: Work): void {
+    shed += 1
+    work.onShed()
+  }
+
+  return {
+    id: options.id,
+    service: options.service,
+    zone: options.zone,
+    slots: options.slots,
+    running: () => running.size,
+    shed: () => shed,
+    started: () => started,
+    alive: () => alive,
+    accept: work => {
+      if (running.size < options.slots) start(work)
+      else if (options.whenFull === 'queue') queue.push(work)
+      else refuse(work)
+    },
+    cancel: work => {
+      if (running.delete(work)) startNext()
+    },
+    crash: () => {
+      const lost = [...running, ...queue]
+      running.clear()
+      queue.length = 0
+      alive = false
+      return lost
+    },
+    restart: () => {
+      alive = true
+      coldUntil = time.now() + COLD_MS
+    }
+  }
+}
