--- /dev/null
+++ b/packages/core/src/limits/sliding-window.ts
@@ -0,0 +1,53 @@
+/**
+ * Counters over a sliding window of ten buckets of one second. The window ends with the bucket of `now`; a bucket
+ * leaves the sums as a whole.
+ */
+
+/** Buckets of a window. */
+const BUCKETS = 10
+/** Length of a bucket in milliseconds. */
+const BUCKET_MS = 1_000
+
+/** Counters whose sums cover the last 9 to 10 seconds. */
+export interface SlidingWindow {
+  /** Adds one to a counter. */
+  readonly add: (counter: number, now: number) => void
+  /** Sum of a counter over the window. */
+  readonly sum: (counter: number, now: number) => number
+}
+
+/** Creates a window with `counters` counters, numbered from 0. */
+export function createSlidingWindow (counters: number): SlidingWindow {
+  const counts = new Float64Array(counters * BUCKETS)
+  const sums = new Float64Array(counters)
+  let newest = -Infinity
+
+  function clear (bucket: number): void {
+    const slot = ((bucket % BUCKETS) + BUCKETS) % BUCKETS
+    for (let counter = 0; counter < counters; counter += 1) {
+      const index = slot * counters + counter
+      sums[counter] -= counts[index]
+      counts[index] = 0
+    }
+  }
+
+  function advance (now: number): number {
+    const bucket = Math.floor(now / BUCKET_MS)
+    if (bucket > newest) {
+      for (let next = Math.max(newest + 1, bucket - BUCKETS + 1); next <= bucket; next += 1) clear(next)
+      newest = bucket
+    }
+    return ((newest % BUCKETS) + BUCKETS) % BUCKETS
+  }
+
+  return {
+    add: (counter, now) => {
+      counts[advance(now) * counters + counter] += 1
+      sums[counter] += 1
+    },
+    sum: (counter, now) => {
+      advance(now)
+      return sums[counter]
+    }
+  }
+}
