Add keys, membership, configuration versions, look-up, stop and loop to core

Cause: the decision package had tables but no systems that keep state across requests, so at-most-once, leaving marks and versions had no owner.

Change: - idempotency: key text with an HMAC tag, and the home's table of outcomes. - membership: list, heartbeats, digests, leaving marks, bounded peer choice. - configuration: checks, plans, changes, read-back of a write without a reply. - lookup: client blocks in typed arrays, ranked entry instances. - shutdown and loop. - World gets the additive table `clientBlocks`.

Ruled out: reserving a place in the key table at issue, because one client that requests keys and uses none could block all others for 10 minutes. A claim that finds the table full is answered `unknown` without a record.

--- /dev/null
+++ b/packages/core/src/configuration/apply-operations.ts
@@ -0,0 +1,52 @@
+/**
+ * Applies operations to the rows of a configuration. All operations of a change apply or none.
+ */
+import type { Result } from 'neverthrow'
+import type { Configuration, ConfigurationRows, ConfigurationTable, Operation } from '../configuration.js'
+import type { Problem } from './problem.js'
+import { err, ok } from 'neverthrow'
+import { rowKey } from '../configuration.js'
+import { CONFIGURATION_TABLES, checkRows } from './check-rows.js'
+
+type Rows = { -readonly [T in ConfigurationTable]: Map<string, ConfigurationRows[T]> }
+
+/**
+ * Returns the configuration with the operations applied; version and recent changes stay as they are. The order of
+ * operations has no effect, because each row may be named once. Errors: all problems found.
+ */
+export function applyOperations (
+  configuration: Configuration, operations: readonly Operation[]
+): Result<Configuration, readonly Problem[]> {
+  const rows = Object.fromEntries(CONFIGURATION_TABLES.map(table => [table, toMap(configuration, table)])) as unknown as Rows
+  const named = new Set<string>()
+  const problems: Problem[] = []
+  for (const operation of operations) {
+    const problem = applyOne(rows, operation, named)
+    if (problem !== undefined) problems.push(problem)
+  }
+  if (problems.length > 0) return err(problems)
+  const tables = Object.fromEntries(CONFIGURATION_TABLES.map(table => [table, [...rows[table].values()]]))
+  const applied = { ...configuration, ...tables }
+  const found = checkRows(applied)
+  return found.length > 0 ? err(found) : ok(applied)
+}
+
+function toMap<T extends ConfigurationTable> (configuration: Configuration, table: T): Map<string, ConfigurationRows[T]> {
+  const rows = configuration[table] as ReadonlyArray<ConfigurationRows[T]>
+  return new Map(rows.map(row => [rowKey(table, row), row]))
+}
+
+function applyOne (rows: Rows, operation: Operation, named: Set<string>): Problem | undefined {
+  const { table } = operation
+  if (!CONFIGURATION_TABLES.includes(table)) {
+    return { code: 'unknown-table', key: String(table), detail: 'the table does not exist' }
+  }
+  const target = rows[table] as Map<string, ConfigurationRows[ConfigurationTable]>
+  const key = 'put' in operation ? rowKey(table, operation.put) : operation.remove
+  const name = `${table} ${key}`
+  if (named.has(name)) return { code: 'duplicate-row', table, key, detail: 'two operations name the row' }
+  named.add(name)
+  if ('put' in operation) target.set(key, operation.put)
+  else if (!target.delete(key)) return { code: 'unknown-row', table, key, detail: 'the row to remove does not exist' }
+  return undefined
+}
--- a/packages/core/src/engine.ts
+++ b/packages/core/src/engine.ts
@@ -27,6 +27,7 @@
     upstreams: new Map(),
     requests: new Map(),
     attempts: new Map(),
+    clientBlocks: undefined,
     stoppingSince: undefined
   }
 }
--- /dev/null
+++ b/packages/core/src/idempotency/index.ts
@@ -0,0 +1,2 @@
+export * from './key-store.js'
+export * from './key-text.js'
--- /dev/null
+++ b/packages/core/src/lookup/address.ts
@@ -0,0 +1,48 @@
+/**
+ * Client addresses and CIDR blocks as numbers.
+ */
+import { isIPv4, isIPv6 } from 'node:net'
+
+/** An address of one family. IPv6 addresses keep their first 64 bits, the part that names a network. */
+export type Address = { readonly family: 4, readonly value: number } | { readonly family: 6, readonly value: bigint }
+
+/** A block by its first address and prefix length. */
+export type Block = Address & { readonly prefix: number }
+
+/** Longest prefix by family. IPv6 blocks longer than a /64 would split one network. */
+export const MAX_PREFIX = { 4: 32, 6: 64 } as const
+
+const MAPPED = /^::ffff:(\d+\.\d+\.\d+\.\d+)$/i
+const GROUPS = 8
+const NETWORK_GROUPS = 4
+const GROUP_BITS = 16n
+
+/** Parses an address; IPv4 addresses mapped into IPv6, as dual-stack sockets report them, are IPv4. */
+export function parseAddress (text: string): Address | undefined {
+  const mapped = MAPPED.exec(text)?.[1] ?? text
+  if (isIPv4(mapped)) {
+    return { family: 4, value: mapped.split('.').reduce((sum, part) => sum * 256 + Number(part), 0) }
+  }
+  return isIPv6(text) ? { family: 6, value: networkPart(text) } : undefined
+}
+
+/** Parses `address/prefix`. Returns `undefined` for a malformed block and for one with bits below the prefix. */
+export function parseBlock (text: string): Block | undefined {
+  const [, addressText = '', prefixText = ''] = /^(.+)\/(\d{1,3})$/.exec(text) ?? []
+  const address = parseAddress(addressText)
+  const prefix = Number(prefixText)
+  if (address === undefined || prefix > MAX_PREFIX[address.family]) return undefined
+  const size = 2n ** BigInt(MAX_PREFIX[address.family] - prefix)
+  return BigInt(address.value) % size === 0n ? { ...address, prefix } : undefined
+}
+
+function networkPart (text: string): bigint {
+  const [head = '', tail] = text.replace(/%.*$/, '').split('::')
+  const left = head === '' ? [] : head.split(':')
+  const right = tail === undefined || tail === '' ? [] : tail.split(':')
+  // A trailing dotted quad stands for two groups, which lie outside the first 64 bits.
+  const rightGroups = right.length + (right.at(-1)?.includes('.') === true ? 1 : 0)
+  const zeros = tail === undefined ? 0 : GROUPS - left.length - rightGroups
+  const groups = [...left, ...Array.from({ length: zeros }, () => '0'), ...right].slice(0, NETWORK_GROUPS)
+  return groups.reduce((sum, group) => (sum << GROUP_BITS) | BigInt(Number.parseInt(group, 16)), 0n)
+}
--- /dev/null
+++ b/packages/core/src/membership/membership-system.ts
@@ -0,0 +1,168 @@
+/**
+ * Membership: whom to trust with work. Combines the platform's lagging list, heartbeats of peers, what peers heard of
+ * others, and the leaving marks of every source.
+ */
+import type { Command } from '../command.js'
+import type { System } from '../engine.js'
+import type { ConfigurationReceived, HeartbeatReceived, ListReceived } from '../event.js'
+import type { Headroom, Heartbeat, Sighting } from '../heartbeat.js'
+import type { World } from '../tables.js'
+import { createInstanceTable, SILENT_AFTER_MS } from './instance-table.js'
+import { createLeavingMarks, takeTurns } from './leaving-marks.js'
+import { createPeerChoice } from './peer-choice.js'
+import { createUpstreamTable } from './upstream-table.js'
+
+export const HEARTBEAT_PERIOD_MS = 1_000
+/**
+ * A new leaving mark is sent after this time instead of with the next heartbeat, so that it crosses a zone of several
+ * hops within 3 s. Marks that arrive together share one heartbeat.
+ */
+export const NEWS_DELAY_MS = 100
+/** How often silence is looked for. It bounds the cost at thousands of instances and the delay of a silent mark. */
+export const EXPIRE_PERIOD_MS = 100
+/** Bounds the size of a heartbeat. */
+export const MAX_SIGHTINGS = 8
+
+export interface MembershipOptions {
+  /** Headroom of this instance's zone, for the heartbeat. */
+  readonly headroom?: () => readonly Headroom[]
+}
+
+/** The membership system and the heartbeat that answers a peer's. */
+export interface MembershipSystem extends System {
+  readonly heartbeat: (now: number) => Heartbeat
+}
+
+/** Creates the system that owns `world.instances` and `world.upstreams`. */
+export function createMembershipSystem (world: World, options: MembershipOptions = {}): MembershipSystem {
+  const { self } = world
+  const { headroom = () => [] } = options
+  const marks = createLeavingMarks()
+  const upstreams = createUpstreamTable(world, marks)
+  const instances = createInstanceTable(world)
+  const choosePeers = createPeerChoice(world)
+  const unreachable = new Set<string>()
+  let round = 0
+  let heartbeatAt = -Infinity
+  let expireAt = -Infinity
+  let newsAt = Infinity
+
+  function announce (zone: string | undefined, now: number): void {
+    if (zone === self.zone) newsAt = Math.min(newsAt, now + NEWS_DELAY_MS)
+  }
+
+  function mark (id: string, zone: string | undefined, now: number): void {
+    if (upstreams.mark(id, zone, now)) announce(world.upstreams.get(id)?.zone ?? zone, now)
+  }
+
+  function sightings (now: number): readonly Sighting[] {
+    const heard = [...world.instances.values()].filter(row => now - row.heardAt <= SILENT_AFTER_MS)
+    const near = heard.filter(row => row.zone === self.zone)
+    const far = heard.filter(row => row.zone !== self.zone)
+    const nearCount = Math.max(MAX_SIGHTINGS / 2, MAX_SIGHTINGS - far.length)
+    const chosen = takeTurns(near, nearCount, round)
+    return [...chosen, ...takeTurns(far, MAX_SIGHTINGS - chosen.length, round)].map(row => ({
+      instanceId: row.id,
+      incarnation: row.incarnation,
+      zone: row.zone,
+      address: row.address,
+      peerAddress: row.peerAddress,
+      state: row.state === 'leaving' ? 'leaving' : 'live',
+      ageMs: Math.ceil(now - row.heardAt)
+    }))
+  }
+
+  function heartbeat (now: number): Heartbeat {
+    const { id: instanceId, incarnation, zone, address, peerAddress } = self
+    return {
+      instanceId,
+      incarnation,
+      zone,
+      address,
+      peerAddress,
+      state: world.stoppingSince === undefined ? 'live' : 'leaving',
+      configurationVersion: world.configuration?.version ?? 0,
+      headroom: headroom(),
+      sightings: sightings(now),
+      leavingUpstreams: marks.ofZone(zone, round, now)
+    }
+  }
+
+  function send (now: number): readonly Command[] {
+    const content = heartbeat(now)
+    return choosePeers(round, id => unreachable.has(id)).map(peer => (
+      { type: 'send-heartbeat', instanceId: peer.id, address: peer.peerAddress, heartbeat: content }
+    ))
+  }
+
+  function tick (now: number): readonly Command[] {
+    if (now >= expireAt) {
+      expireAt = now + EXPIRE_PERIOD_MS
+      instances.expire(now)
+    }
+    if (now < Math.min(heartbeatAt, newsAt)) return []
+    newsAt = Infinity
+    if (now >= heartbeatAt) {
+      round += 1
+      // Heartbeats missed in a pause are not made up for.
+      const next = heartbeatAt + HEARTBEAT_PERIOD_MS
+      heartbeatAt = next > now ? next : now + HEARTBEAT_PERIOD_MS
+    }
+    return send(now)
+  }
+
+  function receiveHeartbeat ({ heartbeat: received }: HeartbeatReceived, now: number): readonly Command[] {
+    unreachable.delete(received.instanceId)
+    instances.hear(received, now)
+    for (const sighting of received.sightings) instances.sight(sighting, now)
+    for (const id of received.leavingUpstreams) mark(id, received.zone, now)
+    return []
+  }
+
+  function receiveList ({ entries }: ListReceived, now: number): readonly Command[] {
+    // An empty list is a fault of the platform: at least this instance is live.
+    if (entries.length === 0) return []
+    // The first peers are greeted with the next tick.
+    if (world.instances.size === 0) heartbeatAt = -Infinity
+    instances.receiveList(entries, now)
+    for (const id of unreachable) if (!world.instances.has(id)) unreachable.delete(id)
+    for (const entry of upstreams.receiveList(entries, now)) announce(entry.zone, now)
+    return []
+  }
+
+  function receiveConfiguration ({ configuration }: ConfigurationReceived, now: number): readonly Command[] {
+    for (const drain of configuration.drains) {
+      // A drain of one service leaves the upstream's other work alone, but an upstream has only one service.
+      if (drain.kind === 'upstream') mark(drain.target, undefined, now)
+    }
+    return []
+  }
+
+  function markTarget (event: { readonly attemptId: string, readonly leaving?: boolean }, now: number): readonly Command[] {
+    const target = world.attempts.get(event.attemptId)?.target
+    if (event.leaving === true && target?.type === 'upstream') mark(target.id, undefined, now)
+    return []
+  }
+
+  return {
+    name: 'membership',
+    heartbeat,
+    handlers: {
+      tick: (_event, now) => tick(now),
+      'heartbeat-received': receiveHeartbeat,
+      'list-received': receiveList,
+      'peer-unreachable': event => {
+        if (world.instances.has(event.instanceId)) unreachable.add(event.instanceId)
+        return []
+      },
+      // Must run before the system that ends attempts, which deletes the attempt's row.
+      'attempt-answered': markTarget,
+      'attempt-refused': markTarget,
+      'configuration-received': receiveConfiguration,
+      'stop-requested': (_event, now) => {
+        newsAt = Math.min(newsAt, now)
+        return []
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/peer-choice.ts
@@ -0,0 +1,73 @@
+/**
+ * Whom an instance sends its heartbeats to. The number is bounded, so the traffic for control does not grow with the
+ * fleet; most peers stay the same, so that silence means something, and one of each group takes turns, so that news
+ * crosses the fleet.
+ */
+import type { Instance, World } from '../tables.js'
+import { regionOf } from '../configuration/traffic.js'
+import { hash32 } from '../hash.js'
+
+/** Peers in all. Places that the zone and the region don't fill go to other regions. */
+export const MAX_PEERS = 6
+export const MAX_ZONE_PEERS = 3
+export const MAX_REGION_PEERS = 2
+
+/** Chooses the peers of a round, at most `MAX_PEERS`. */
+export type PeerChoice = (round: number, isUnreachable: (id: string) => boolean) => readonly Instance[]
+
+/** Creates the choice over `world.instances`, ranked by rendezvous hash with this instance's id. */
+export function createPeerChoice (world: World): PeerChoice {
+  const scores = new Map<string, number>()
+
+  function scoreOf (id: string): number {
+    const known = scores.get(id)
+    if (known !== undefined) return known
+    const score = hash32(`${world.self.id} ${id}`)
+    scores.set(id, score)
+    return score
+  }
+
+  function ranked (rows: readonly Instance[]): readonly Instance[] {
+    return [...rows].sort((a, b) => scoreOf(b.id) - scoreOf(a.id) || (a.id < b.id ? -1 : 1))
+  }
+
+  return (round, isUnreachable) => {
+    for (const id of scores.keys()) if (!world.instances.has(id)) scores.delete(id)
+    const groups = groupByDistance(world)
+    const peers = pick(ranked(groups.zone), MAX_ZONE_PEERS, round, isUnreachable)
+    peers.push(...pick(ranked(groups.region), MAX_REGION_PEERS, round, isUnreachable))
+    peers.push(...pick(ranked(groups.elsewhere), MAX_PEERS - peers.length, round, isUnreachable))
+    return peers
+  }
+}
+
+/** All but one are the best that answer; the last takes turns among the rest, which includes silent instances. */
+function pick (
+  rows: readonly Instance[], count: number, round: number, isUnreachable: (id: string) => boolean
+): Instance[] {
+  if (rows.length <= count) return [...rows]
+  const steady = rows.filter(row => row.state !== 'silent' && !isUnreachable(row.id)).slice(0, count - 1)
+  const rest = rows.filter(row => !steady.includes(row))
+  const turn = rest[round % rest.length]
+  return turn === undefined ? steady : [...steady, turn]
+}
+
+interface Groups {
+  readonly zone: readonly Instance[]
+  readonly region: readonly Instance[]
+  readonly elsewhere: readonly Instance[]
+}
+
+function groupByDistance (world: World): Groups {
+  const { zone } = world.self
+  const { configuration } = world
+  const regions = new Map(configuration?.zones.map(row => [row.id, row.region]))
+  const region = configuration === undefined ? undefined : regionOf(configuration, zone)
+  const groups = { zone: [] as Instance[], region: [] as Instance[], elsewhere: [] as Instance[] }
+  for (const row of world.instances.values()) {
+    if (row.zone === zone) groups.zone.push(row)
+    else if (region !== undefined && regions.get(row.zone) === region) groups.region.push(row)
+    else groups.elsewhere.push(row)
+  }
+  return groups
+}
--- /dev/null
+++ b/packages/core/src/membership/upstream-table.ts
@@ -0,0 +1,74 @@
+/**
+ * Upstreams as the platform lists them, with the leaving marks of all sources.
+ */
+import type { ListedInstance } from '../event.js'
+import type { World } from '../tables.js'
+import type { LeavingMarks } from './leaving-marks.js'
+
+/** The list lags, so an entry that it lacks is removed only after this time. */
+export const MISSING_MS = 30_000
+
+/** The owner of `world.upstreams`. */
+export interface UpstreamTable {
+  /** Returns the upstreams that the list is the first to mark. */
+  readonly receiveList: (entries: readonly ListedInstance[], now: number) => readonly ListedInstance[]
+  /** Returns true if the mark is new. `zone` says where an upstream that is not listed belongs. */
+  readonly mark: (id: string, zone: string | undefined, now: number) => boolean
+}
+
+/** Creates the owner of `world.upstreams`. */
+export function createUpstreamTable (world: World, marks: LeavingMarks): UpstreamTable {
+  /** Time of the first list without the upstream. */
+  const missingSince = new Map<string, number>()
+
+  function mark (id: string, zone: string | undefined, now: number): boolean {
+    const row = world.upstreams.get(id)
+    const isNew = marks.add(id, row?.zone ?? zone, now)
+    if (row?.state === 'live') world.upstreams.set(id, { ...row, state: 'leaving', leavingAt: now })
+    return isNew
+  }
+
+  function list (entry: ListedInstance, service: string, now: number): boolean {
+    missingSince.delete(entry.id)
+    const { id, zone, address } = entry
+    const isNew = entry.state === 'leaving' && marks.add(id, zone, now)
+    const leavingAt = marks.markedAt(id)
+    const listedAt = world.upstreams.get(id)?.listedAt ?? now
+    world.upstreams.set(id, {
+      id,
+      service,
+      zone,
+      address,
+      listedAt,
+      ...(leavingAt === undefined ? { state: 'live' } : { state: 'leaving', leavingAt })
+    })
+    return isNew
+  }
+
+  function removeMissing (listed: ReadonlySet<string>, now: number): void {
+    for (const id of [...world.upstreams.keys()]) {
+      if (listed.has(id)) continue
+      const since = missingSince.get(id) ?? now
+      missingSince.set(id, since)
+      if (now - since < MISSING_MS) continue
+      missingSince.delete(id)
+      world.upstreams.delete(id)
+    }
+  }
+
+  return {
+    mark,
+    receiveList: (entries, now) => {
+      const listed = new Set<string>()
+      const marked: ListedInstance[] = []
+      for (const entry of entries) {
+        if (entry.role !== 'upstream' || entry.service === undefined) continue
+        listed.add(entry.id)
+        if (list(entry, entry.service, now)) marked.push(entry)
+      }
+      removeMissing(listed, now)
+      marks.expire(id => world.upstreams.get(id)?.zone, now)
+      return marked
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/shutdown/index.ts
@@ -0,0 +1,1 @@
+export * from './shutdown-system.js'
--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -3,6 +3,7 @@
  */
 import type { Configuration, LengthClass, RequestKind } from './configuration.js'
 import type { Headroom } from './heartbeat.js'
+import type { BlockTable } from './lookup/block-table.js'
 
 /** Another entry instance. */
 export interface Instance {
@@ -74,6 +75,8 @@
   readonly upstreams: Map<string, Upstream>
   readonly requests: Map<string, Request>
   readonly attempts: Map<string, Attempt>
+  /** Client blocks. Absent until they were read. */
+  clientBlocks: BlockTable | undefined
   /** Set by a planned stop. */
   stoppingSince: number | undefined
 }
--- /dev/null
+++ b/packages/core/tests/configuration/configuration.test.ts
@@ -0,0 +1,89 @@
+import type { Change, Operation } from '../../src/configuration.js'
+import { describe, expect, it } from 'vitest'
+import { createWorld } from '../../src/engine.js'
+import { applyChanges, applyOperations, changesSince, createConfigurationSystem, makePlan, nextConfiguration, settleWrite } from '../../src/configuration/index.js'
+import { CONFIGURATION, heartbeatOf, self, SERVICE } from '../fixtures.js'
+
+const drainZ1: Operation = { table: 'drains', put: { kind: 'zone', target: 'z1' } }
+
+function change (version: number, operations: readonly Operation[] = []): Change {
+  return { version, changeId: `c${version}`, actor: 'ana', reason: 'test', at: 0, operations }
+}
+
+describe('applyOperations', () => {
+  it.each<[string, Operation[], string]>([
+    ['a reference to a missing row', [{ table: 'places', put: { service: 'none', zone: 'z1' } }], 'unknown-reference'],
+    ['a removal that breaks references', [{ table: 'zones', remove: 'z1' }], 'unknown-reference'],
+    ['a removal of a missing row', [{ table: 'places', remove: 'tokens@z9' }], 'unknown-row'],
+    ['two operations on a row', [drainZ1, { table: 'drains', remove: 'zone:z1' }], 'duplicate-row'],
+    ['a number out of range', [{ table: 'services', put: { ...SERVICE, slots: 0 } }], 'out-of-range'],
+    ['a share that is no number', [{ table: 'rules', put: { service: 'tokens', scope: 'zone', shiftCap: NaN, longShare: 1 } }], 'out-of-range'],
+    ['an id with a key separator', [{ table: 'regions', put: { id: 'a@b' } }], 'malformed']
+  ])('refuses %s', (_name, operations, code) => {
+    expect(applyOperations(CONFIGURATION, operations)._unsafeUnwrapErr()[0]?.code).toBe(code)
+  })
+})
+
+describe('makePlan', () => {
+  it('is the same for the same input and differs by version, guarding against a confirmation of another plan', () => {
+    const reordered: Operation = { put: { target: 'z1', kind: 'zone' }, table: 'drains' }
+    const plan = makePlan(CONFIGURATION, [drainZ1])._unsafeUnwrap()
+    expect(plan.moves).toEqual([{ service: 'tokens', fromZone: 'z1', toZone: 'z2', share: 1, cap: 0.25 }])
+    expect(plan.blockers).toEqual([])
+    expect(makePlan(CONFIGURATION, [reordered])._unsafeUnwrap().planId).toBe(plan.planId)
+    expect(makePlan({ ...CONFIGURATION, version: 2 }, [drainZ1])._unsafeUnwrap().planId).not.toBe(plan.planId)
+  })
+
+  it('blocks what the guarantees forbid, guarding against a confirmed shift above the cap', () => {
+    const blockers = (operations: readonly Operation[]): readonly string[] =>
+      makePlan(CONFIGURATION, operations)._unsafeUnwrap().blockers
+    const drain = (target: string): Operation => ({ table: 'drains', put: { kind: 'zone', target } })
+    expect(blockers([drain('z1'), drain('z2')])).toEqual([
+      'rules tokens: 100% of the traffic of zone z1 would shift, the cap is 25%',
+      'rules tokens: 100% of the traffic of zone z2 would shift, the cap is 25%'
+    ])
+    expect(blockers([drain('z1'), drain('z2'), drain('z3')]))
+      .toContain('services tokens: no place would be left that takes new work')
+    expect(blockers([drain('z9')])).toEqual(['drains zone:z9: target z9 does not exist'])
+    expect(makePlan(CONFIGURATION, [])._unsafeUnwrapErr()).toEqual({ reason: 'request-malformed' })
+  })
+})
+
+describe('changes', () => {
+  it('settles a write by what is read back, guarding against a lost or a doubled change', () => {
+    const mine = { ...change(2, [drainZ1]), changeId: 'mine' }
+    const written = nextConfiguration(CONFIGURATION, mine)._unsafeUnwrap()
+    const other = nextConfiguration(CONFIGURATION, change(2))._unsafeUnwrap()
+    expect(settleWrite(CONFIGURATION, mine)).toBe('retry')
+    expect(settleWrite(written, mine)).toBe('applied')
+    expect(settleWrite(other, mine)).toBe('lost')
+    const later = Array.from({ length: 64 }, (_, index) => change(index + 3))
+    expect(settleWrite(applyChanges(written, later.slice(0, 63))._unsafeUnwrap(), mine)).toBe('applied')
+    expect(settleWrite(applyChanges(written, later)._unsafeUnwrap(), mine)).toBe('unknown')
+    expect(nextConfiguration(written, mine).isErr()).toBe(true)
+  })
+
+  it('gives a peer the changes that it lacks or none at all, guarding against a gap', () => {
+    const changes = Array.from({ length: 70 }, (_, index) => change(index + 2, index === 0 ? [drainZ1] : []))
+    const newest = applyChanges(CONFIGURATION, changes)._unsafeUnwrap()
+    expect(newest.recent).toHaveLength(64)
+    expect(changesSince(newest, newest.version - 65)).toBeUndefined()
+    expect(changesSince(newest, newest.version - 64)).toHaveLength(64)
+    expect(changesSince(newest, newest.version)).toEqual([])
+  })
+})
+
+describe('configuration system', () => {
+  it('adopts only higher versions and asks for newer ones, guarding against a rollback by a stale reply', () => {
+    const world = createWorld(self('i1', 'z1'))
+    const { handlers } = createConfigurationSystem(world)
+    for (const version of [3, 2, 3, 5, 4]) {
+      handlers['configuration-received']?.({ type: 'configuration-received', source: 'peer', configuration: { ...CONFIGURATION, version } }, 0)
+    }
+    expect(world.configuration?.version).toBe(5)
+    const hear = (version: number, now: number): unknown => handlers['heartbeat-received']?.(
+      { type: 'heartbeat-received', heartbeat: heartbeatOf(self('i2', 'z1'), { configurationVersion: version }) }, now)
+    const pull = { type: 'pull-configuration', instanceId: 'i2', address: 'i2:2', sinceVersion: 5 }
+    expect([hear(5, 0), hear(6, 1), hear(6, 2), hear(7, 3), hear(7, 503)]).toEqual([[], [pull], [], [pull], [pull]])
+  })
+})
--- /dev/null
+++ b/packages/core/tests/lookup/lookup.test.ts
@@ -0,0 +1,74 @@
+import type { Drain } from '../../src/configuration.js'
+import type { World } from '../../src/tables.js'
+import { describe, expect, it } from 'vitest'
+import { createWorld, runSystems } from '../../src/engine.js'
+import { createBlockTableBuilder } from '../../src/lookup/block-table.js'
+import { clientOrigin } from '../../src/lookup/client-origin.js'
+import { lookup } from '../../src/lookup/lookup.js'
+import { createMembershipSystem } from '../../src/membership/membership-system.js'
+import { CONFIGURATION, heartbeatOf, self } from '../fixtures.js'
+
+function worldOf (drains: readonly Drain[] = []): World {
+  const world = createWorld(self('a1', 'z1'))
+  const systems = [createMembershipSystem(world)]
+  for (const [id, zone] of [['c3', 'z3'], ['a2', 'z1'], ['d4', 'z4'], ['b2', 'z2'], ['b1', 'z2']] as const) {
+    runSystems(systems, { type: 'heartbeat-received', heartbeat: heartbeatOf(self(id, zone)) }, 0)
+  }
+  world.configuration = { ...CONFIGURATION, drains }
+  const builder = createBlockTableBuilder()
+  builder.add('10.2.0.0/16', { zone: 'z2', tenant: 'firm' })
+  builder.add('10.9.0.0/16', { zone: 'gone', tenant: 'firm' })
+  world.clientBlocks = builder.build()
+  return world
+}
+
+function ids (world: World, client?: string): readonly string[] {
+  const query = client === undefined ? { service: 'tokens' } : { service: 'tokens', client }
+  return lookup(world, query)._unsafeUnwrap().instances.map(instance => instance.id)
+}
+
+describe('clientOrigin', () => {
+  it('falls back to the own zone and the default tenant, guarding against origins that no rule covers', () => {
+    const world = worldOf()
+    const origins = ['10.2.3.4', '10.9.0.1', '10.1.0.1', undefined].map(client => clientOrigin(world, client))
+    expect(origins).toEqual([
+      { zone: 'z2', tenant: 'firm' }, { zone: 'z1', tenant: 'firm' },
+      { zone: 'z1', tenant: 'default' }, { zone: 'z1', tenant: 'default' }
+    ])
+  })
+})
+
+describe('lookup', () => {
+  it('ranks by distance from the client and spreads equals, guarding against one instance that takes all', () => {
+    const world = worldOf()
+    const first = new Set<string>()
+    for (let host = 0; host < 32; host += 1) {
+      const ranked = ids(world, `10.2.0.${host}`)
+      expect([ranked.slice(0, 2).sort(), ranked.slice(2, 4).sort(), ranked.slice(4).sort()])
+        .toEqual([['b1', 'b2'], ['a1', 'a2'], ['c3', 'd4']])
+      first.add(ranked[0] as string)
+    }
+    expect(first.size).toBe(2)
+  })
+
+  it('leaves out instances that take no new work, guarding against callers sent to them', () => {
+    const world = worldOf([{ kind: 'instance', target: 'a2' }, { kind: 'zone', target: 'z3' }, { kind: 'zone', target: 'z4', service: 'other' }])
+    expect([...ids(world)].sort()).toEqual(['a1', 'b1', 'b2', 'd4'])
+    world.stoppingSince = 0
+    const b1 = world.instances.get('b1')
+    const b2 = world.instances.get('b2')
+    if (b1 !== undefined) world.instances.set('b1', { ...b1, state: 'leaving' })
+    if (b2 !== undefined) world.instances.set('b2', { ...b2, state: 'silent' })
+    expect(ids(world)).toEqual(['d4'])
+  })
+
+  it('answers with a reason when it can not rank, and with 8 instances at most', () => {
+    const world = worldOf()
+    const rows = [...world.instances.values()]
+    for (let copy = 0; copy < 5; copy += 1) for (const row of rows) world.instances.set(`${row.id}-${copy}`, { ...row, id: `${row.id}-${copy}` })
+    expect(ids(world)).toHaveLength(8)
+    expect(lookup(world, { service: 'none' })._unsafeUnwrapErr()).toEqual({ reason: 'unknown-service' })
+    world.configuration = undefined
+    expect(lookup(world, { service: 'tokens' })._unsafeUnwrapErr()).toEqual({ reason: 'no-configuration' })
+  })
+})
