--- /dev/null
+++ b/packages/settings/src/configuration-file.ts
@@ -0,0 +1,123 @@
+/**
+ * Schema of a configuration file: the tables of the configuration without version and changes. A file states the
+ * whole of each table that it contains; a table that is absent stays as it is, so that applying a file doesn't
+ * cancel a drain.
+ */
+import { z } from 'zod'
+import { identifier } from './identifier.js'
+
+const positive = z.int().positive()
+const share = z.number().min(0).max(1)
+
+const region = z.strictObject({ id: identifier }).readonly()
+
+const zone = z.strictObject({ id: identifier, region: identifier, instances: positive }).readonly()
+
+const route = z.strictObject({
+  method: z.string().regex(/^([A-Z]+|\*)$/, 'expected an upper-case HTTP method or "*"'),
+  prefix: z.string().startsWith('/', 'expected a path that begins with "/"'),
+  kind: z.enum(['repeatable', 'plain', 'protected']),
+  length: z.enum(['short', 'long'])
+}).readonly()
+
+const service = z.strictObject({
+  id: identifier,
+  slots: positive,
+  connections: positive,
+  deadlineMs: positive,
+  maxBodyBytes: positive,
+  refusalHeader: z.string().regex(/^[a-z0-9-]+$/, 'expected a header name in lower case'),
+  coldStartMs: z.int().nonnegative(),
+  routes: z.array(route).min(1).readonly()
+}).readonly()
+
+const place = z.strictObject({ service: identifier, zone: identifier }).readonly()
+
+const rule = z.strictObject({
+  service: identifier,
+  scope: z.enum(['zone', 'region']),
+  shiftCap: share,
+  longShare: share
+}).readonly()
+
+const link = z.strictObject({ from: identifier, to: identifier, mbitPerSecond: z.number().positive() }).readonly()
+
+const drain = z.strictObject({
+  kind: z.enum(['upstream', 'instance', 'zone']),
+  target: identifier,
+  service: identifier.optional()
+}).readonly()
+
+const tables = z.strictObject({
+  regions: z.array(region).readonly().optional(),
+  zones: z.array(zone).readonly().optional(),
+  services: z.array(service).readonly().optional(),
+  places: z.array(place).readonly().optional(),
+  rules: z.array(rule).readonly().optional(),
+  links: z.array(link).readonly().optional(),
+  drains: z.array(drain).readonly().optional()
+}).readonly()
+
+type Tables = z.output<typeof tables>
+
+/** Columns that name a row of another table. Not checked if the file doesn't contain that table. */
+const REFERENCES: ReadonlyArray<readonly [keyof Tables, string, keyof Tables]> = [
+  ['zones', 'region', 'regions'],
+  ['places', 'service', 'services'],
+  ['places', 'zone', 'zones'],
+  ['rules', 'service', 'services'],
+  ['links', 'from', 'regions'],
+  ['links', 'to', 'regions'],
+  ['drains', 'service', 'services']
+]
+
+/** Columns whose values together must be unique in their table. */
+const IDENTITIES: { readonly [T in keyof Tables]-?: readonly string[] } = {
+  regions: ['id'],
+  zones: ['id'],
+  services: ['id'],
+  places: ['service', 'zone'],
+  rules: ['service'],
+  links: ['from', 'to'],
+  drains: ['kind', 'target', 'service']
+}
+
+type Row = Readonly<Record<string, unknown>>
+
+function rowsOf (file: Tables, table: keyof Tables): readonly Row[] | undefined {
+  return file[table] as readonly Row[] | undefined
+}
+
+type Report = (path: ReadonlyArray<string | number>, message: string) => void
+
+function checkReferences (file: Tables, report: Report): void {
+  for (const [table, column, target] of REFERENCES) {
+    const known = rowsOf(file, target)?.map(row => row.id)
+    if (known === undefined) continue
+    rowsOf(file, table)?.forEach((row, index) => {
+      if (row[column] === undefined || known.includes(row[column])) return
+      report([table, index, column], `expected the id of a row in "${target}"`)
+    })
+  }
+}
+
+function checkIdentities (file: Tables, report: Report): void {
+  for (const [table, columns] of Object.entries(IDENTITIES)) {
+    const seen = new Set<string>()
+    rowsOf(file, table as keyof Tables)?.forEach((row, index) => {
+      const identity = JSON.stringify(columns.map(column => row[column] ?? ''))
+      if (seen.has(identity)) report([table, index], `expected a row with a new ${columns.join(' and ')}`)
+      seen.add(identity)
+    })
+  }
+}
+
+/** Schema of a configuration file; also checks that rows are unique and name rows that exist. */
+export const configurationFile = tables.superRefine((file, context) => {
+  const report: Report = (path, message) => context.addIssue({ code: 'custom', path: [...path], message })
+  checkReferences(file, report)
+  checkIdentities(file, report)
+})
+
+/** The tables that a configuration file states. */
+export type ConfigurationFile = z.output<typeof configurationFile>
