Add the platform client, an in-memory platform and the configuration writer

Cause: the daemon needs the object API, the instance list and a commit that is safe when replies are lost. Ruled out: retrying a write without reading back, which reports a conflict with the change's own first write; treating 5xx as not written, since a gateway can send it after the write took effect.

--- /dev/null
+++ b/packages/platform/src/configuration-writer.ts
@@ -0,0 +1,128 @@
+/**
+ * Commits changes of the configuration by conditional write. A write whose reply was lost is settled by reading
+ * back: a caller is told `unknown` only if the store could not be read before the deadline.
+ */
+import type { Configuration } from '@arbutustray/core'
+import type { Result } from 'neverthrow'
+import type { ObjectStore } from './object-store.js'
+import type { PlatformError } from './platform-error.js'
+import type { PendingChange } from './settle-write.js'
+import { EMPTY_CONFIGURATION, monotonicNow } from '@arbutustray/core'
+import { err, ok } from 'neverthrow'
+import { parseConfiguration } from './parse-configuration.js'
+import { pause } from './pause.js'
+import { formatPlatformError } from './platform-error.js'
+import { nextConfiguration, settleWrite } from './settle-write.js'
+
+/** Name of the object that holds the whole configuration. */
+export const CONFIGURATION_OBJECT = 'configuration'
+
+/** Why a change has no confirmed effect. */
+export type CommitError =
+  /** Another change took the version after the base; `configuration` is the newest one. Nothing was written. */
+  | { readonly type: 'conflict', readonly configuration: Configuration }
+  /** The platform could not be reached. Nothing was written. */
+  | { readonly type: 'unavailable', readonly reason: string }
+  /** The platform does not accept the change, or holds no usable configuration. Nothing was written. */
+  | { readonly type: 'rejected', readonly reason: string }
+  /** A write was sent and could not be settled before the deadline. */
+  | { readonly type: 'unknown', readonly reason: string }
+
+/** Options of the writer; times in milliseconds. */
+export interface ConfigurationWriterOptions {
+  readonly store: ObjectStore
+  /** Time for one commit, after which it is answered as it stands. */
+  readonly deadlineMs?: number
+}
+
+/** Commits changes. A change id that was written before is answered with the stored configuration. */
+export interface ConfigurationWriter {
+  readonly commit: (change: PendingChange) => Promise<Result<Configuration, CommitError>>
+}
+
+const DEFAULT_DEADLINE_MS = 5_000
+const FIRST_PAUSE_MS = 50
+// Every call counts against the platform's rate limit, also while it is down.
+const LONGEST_PAUSE_MS = 500
+
+interface Current {
+  readonly configuration: Configuration
+  /** The platform's version of the object, which need not equal the configuration's version. */
+  readonly objectVersion: number
+}
+
+type CommitResult = Result<Configuration, CommitError>
+
+/** Ends the wait for a call at a time; the call itself may still take effect. */
+async function until<T> (endAt: number, call: Promise<Result<T, PlatformError>>): Promise<Result<T, PlatformError>> {
+  const timer = new AbortController()
+  const late = pause(Math.max(0, endAt - monotonicNow()), timer.signal)
+    .then(() => err<T, PlatformError>({ type: 'reply-lost', reason: 'no reply before the deadline' }))
+  try {
+    return await Promise.race([call, late])
+  } finally {
+    timer.abort()
+  }
+}
+
+async function readCurrent (store: ObjectStore): Promise<Result<Current, PlatformError>> {
+  const object = await store.get(CONFIGURATION_OBJECT)
+  if (object.isErr()) {
+    return object.error.type === 'not-found' ? ok({ configuration: EMPTY_CONFIGURATION, objectVersion: 0 }) : err(object.error)
+  }
+  return parseConfiguration(object.value.value)
+    .map(configuration => ({ configuration, objectVersion: object.value.version }))
+}
+
+/** Creates a writer over an object store. */
+export function createConfigurationWriter (options: ConfigurationWriterOptions): ConfigurationWriter {
+  const { store } = options
+  const deadlineMs = options.deadlineMs ?? DEFAULT_DEADLINE_MS
+
+  async function commit (change: PendingChange): Promise<CommitResult> {
+    const endAt = monotonicNow() + deadlineMs
+    // Set once a write was sent whose effect isn't known; from then on only the stored configuration can tell.
+    let inDoubt = false
+    let reason = 'deadline passed'
+
+    const failed = (type: 'unavailable' | 'rejected'): CommitResult => err({ type: inDoubt ? 'unknown' : type, reason })
+
+    async function attempt (): Promise<CommitResult | undefined> {
+      const read = await until(endAt, readCurrent(store))
+      if (read.isErr()) {
+        reason = formatPlatformError(read.error)
+        return read.error.type === 'malformed' ? failed('rejected') : undefined
+      }
+      const { configuration, objectVersion } = read.value
+      const settlement = settleWrite(configuration, change)
+      if (settlement === 'written') return ok(configuration)
+      if (settlement === 'lost-race') return err({ type: 'conflict', configuration })
+      if (settlement === 'undecidable') {
+        if (!inDoubt) return err({ type: 'conflict', configuration })
+        reason = 'the changes after the base version are no longer stored'
+        return failed('rejected')
+      }
+      if (settlement === 'behind') {
+        reason = `the platform holds version ${configuration.version}, which is older than ${change.baseVersion}`
+        return failed('rejected')
+      }
+      if (monotonicNow() >= endAt) return undefined
+      const next = nextConfiguration(configuration, change)
+      const written = await until(endAt, store.put(CONFIGURATION_OBJECT, next, objectVersion))
+      if (written.isOk()) return ok(next)
+      reason = formatPlatformError(written.error)
+      if (written.error.type === 'reply-lost') inDoubt = true
+      return written.error.type === 'malformed' ? failed('rejected') : undefined
+    }
+
+    for (let pauseMs = FIRST_PAUSE_MS; ; pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS)) {
+      const result = await attempt()
+      if (result !== undefined) return result
+      const leftMs = endAt - monotonicNow()
+      if (leftMs <= 0) return failed('unavailable')
+      await pause(Math.min(pauseMs, leftMs))
+    }
+  }
+
+  return { commit }
+}
--- /dev/null
+++ b/packages/platform/src/http-platform.ts
@@ -0,0 +1,141 @@
+/**
+ * Client of the platform's HTTP interface. Each failed call is sorted by what it may have done: a write that never
+ * left this process is `unavailable`, a write without a readable reply is `reply-lost`.
+ */
+import type { ListedInstance } from '@arbutustray/core'
+import type { Result } from 'neverthrow'
+import type { Dispatcher } from 'undici'
+import type { InstanceList } from './instance-list.js'
+import type { ObjectStore, StoredObject } from './object-store.js'
+import type { PlatformError } from './platform-error.js'
+import { err, errAsync, ok, ResultAsync } from 'neverthrow'
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import { MAX_VALUE_BYTES } from './object-store.js'
+
+/** Options of the client; times in milliseconds. */
+export interface HttpPlatformOptions {
+  /** Base URL, such as `http://10.0.0.1:7000`. */
+  readonly url: string
+  /** Time for one call other than a watch. */
+  readonly timeoutMs?: number
+  /** Time for one watch. Above the platform's own limit of 25 s, so that the platform normally ends the wait. */
+  readonly watchTimeoutMs?: number
+}
+
+/** Object store and instance list over HTTP. `close` ends all connections. */
+export interface HttpPlatform extends ObjectStore, InstanceList {
+  readonly close: () => Promise<void>
+}
+
+const DEFAULT_TIMEOUT_MS = 2_000
+const DEFAULT_WATCH_TIMEOUT_MS = 35_000
+const CONNECT_TIMEOUT_MS = 1_000
+// The instance list is not limited to the size of one object.
+const MAX_REPLY_BYTES = 16 * MAX_VALUE_BYTES
+
+/** Errors raised before a connection existed, so that nothing was sent. */
+const NOT_SENT = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'])
+
+const storedObject = z.object({ version: z.int().positive(), value: z.unknown() })
+const conflictReply = z.object({ version: z.int().nonnegative() })
+const writeReply = z.object({ version: z.int().positive() })
+const instanceList = z.array(z.object({
+  id: z.string(),
+  role: z.enum(['entry', 'upstream']),
+  service: z.string().optional(),
+  zone: z.string(),
+  address: z.string(),
+  peerAddress: z.string().optional(),
+  state: z.enum(['live', 'leaving'])
+}))
+
+interface Reply {
+  readonly status: number
+  readonly body: unknown
+}
+
+function reasonOf (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
+function failureOf (error: unknown, write: boolean): PlatformError {
+  const code = (error as { readonly code?: unknown } | null)?.code
+  const sent = !(typeof code === 'string' && NOT_SENT.has(code))
+  return { type: write && sent ? 'reply-lost' : 'unavailable', reason: reasonOf(error) }
+}
+
+function parse<T> (schema: z.ZodType<T>, body: unknown): Result<T, PlatformError> {
+  const parsed = schema.safeParse(body)
+  return parsed.success ? ok(parsed.data) : err({ type: 'malformed', reason: z.prettifyError(parsed.error) })
+}
+
+/** Sorts replies that are no success of the call. */
+function refusalOf (reply: Reply, write: boolean): PlatformError {
+  if (reply.status === 404) return { type: 'not-found' }
+  const reason = `status ${reply.status}`
+  // A gateway may send 5xx after the write took effect; only 4xx states that it did not.
+  if (reply.status >= 500) return { type: write ? 'reply-lost' : 'unavailable', reason }
+  return { type: reply.status === 429 ? 'unavailable' : 'malformed', reason }
+}
+
+/** Connects to the platform at a base URL. No connection is made before the first call. */
+export function createHttpPlatform (options: HttpPlatformOptions): HttpPlatform {
+  const agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, maxResponseSize: MAX_REPLY_BYTES })
+  const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS
+  const watchTimeoutMs = options.watchTimeoutMs ?? DEFAULT_WATCH_TIMEOUT_MS
+  const base = options.url.replace(/\/+$/, '')
+
+  async function exchange (path: string, init: { method: Dispatcher.HttpMethod, body?: string, signal: AbortSignal }): Promise<Reply> {
+    const headers = init.body === undefined ? {} : { 'content-type': 'application/json' }
+    const response = await request(`${base}${path}`, { ...init, headers, dispatcher: agent, headersTimeout: 0, bodyTimeout: 0 })
+    const text = await response.body.text()
+    return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) }
+  }
+
+  function call (path: string, limitMs = timeoutMs, signal?: AbortSignal): ResultAsync<Reply, PlatformError> {
+    const limit = AbortSignal.timeout(limitMs)
+    const either = signal === undefined ? limit : AbortSignal.any([limit, signal])
+    return ResultAsync.fromPromise(exchange(path, { method: 'GET', signal: either }), error => failureOf(error, false))
+  }
+
+  function write (path: string, body: string): ResultAsync<Reply, PlatformError> {
+    const signal = AbortSignal.timeout(timeoutMs)
+    return ResultAsync.fromPromise(exchange(path, { method: 'PUT', body, signal }), error => failureOf(error, true))
+  }
+
+  const objectPath = (name: string): string => `/objects/${encodeURIComponent(name)}`
+
+  return {
+    get: async name => await call(objectPath(name)).andThen(reply =>
+      reply.status === 200 ? parse(storedObject, reply.body) : err(refusalOf(reply, false))),
+
+    put: async (name, value, expectedVersion) => {
+      const body = JSON.stringify(value)
+      const size = Buffer.byteLength(body)
+      if (size > MAX_VALUE_BYTES) return await errAsync({ type: 'malformed' as const, reason: `value of ${size} bytes` })
+      return await write(`${objectPath(name)}?expect=${expectedVersion}`, body).andThen<number, PlatformError>(reply => {
+        if (reply.status === 200) {
+          // The write took effect even if its reply can't be used, so this is no `malformed`.
+          return parse(writeReply, reply.body).map(({ version }) => version)
+            .mapErr(() => ({ type: 'reply-lost' as const, reason: 'reply without version' }))
+        }
+        if (reply.status !== 409) return err(refusalOf(reply, true))
+        return parse(conflictReply, reply.body)
+          .andThen(({ version }) => err({ type: 'conflict' as const, currentVersion: version }))
+      })
+    },
+
+    watch: async (name, aboveVersion, signal) =>
+      await call(`${objectPath(name)}?watch=${aboveVersion}`, watchTimeoutMs, signal)
+        .andThen<StoredObject | undefined, PlatformError>(reply => {
+          if (reply.status === 304) return ok(undefined)
+          return reply.status === 200 ? parse(storedObject, reply.body) : err(refusalOf(reply, false))
+        }),
+
+    list: async () => await call('/instances').andThen<readonly ListedInstance[], PlatformError>(reply =>
+      reply.status === 200 ? parse(instanceList, reply.body) : err(refusalOf(reply, false))),
+
+    close: async () => await agent.destroy()
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+export * from './configuration-writer.js'
+export * from './http-platform.js'
+export * from './instance-list.js'
+export * from './memory-platform.js'
+export * from './object-store.js'
+export * from './parse-configuration.js'
+export * from './platform-error.js'
+export * from './settle-write.js'
--- /dev/null
+++ b/packages/platform/src/memory-platform.ts
@@ -0,0 +1,95 @@
+/**
+ * An object store and instance list in memory, for tests and for the stand-in of the platform. Switches imitate
+ * the failures of the real one: down, slow, and writes that take effect while their reply is lost.
+ */
+import type { ListedInstance } from '@arbutustray/core'
+import type { Result } from 'neverthrow'
+import type { InstanceList } from './instance-list.js'
+import type { ObjectStore, StoredObject } from './object-store.js'
+import type { PlatformError } from './platform-error.js'
+import { monotonicNow } from '@arbutustray/core'
+import { err, ok } from 'neverthrow'
+import { pause } from './pause.js'
+
+/** Failure switches. They can be changed at any time and apply to calls that start later. */
+export interface MemoryPlatformSwitches {
+  /** Every call fails without effect. */
+  down: boolean
+  /** Delay before each call takes effect, in milliseconds. */
+  slowMs: number
+  /** Number of writes whose reply is lost after they took effect. */
+  loseReplies: number
+}
+
+/** An object store and instance list with switches. */
+export interface MemoryPlatform extends ObjectStore, InstanceList {
+  readonly switches: MemoryPlatformSwitches
+  /** Entries of the list by id. */
+  readonly instances: Map<string, ListedInstance>
+}
+
+/** The platform ends a watch without a change after this time. */
+export const WATCH_LIMIT_MS = 25_000
+
+const DOWN: PlatformError = { type: 'unavailable', reason: 'switched off' }
+
+/** Creates an empty platform. */
+export function createMemoryPlatform (): MemoryPlatform {
+  const switches: MemoryPlatformSwitches = { down: false, slowMs: 0, loseReplies: 0 }
+  const objects = new Map<string, StoredObject>()
+  const instances = new Map<string, ListedInstance>()
+  const watchers = new Set<() => void>()
+
+  async function run<T> (call: () => Result<T, PlatformError>): Promise<Result<T, PlatformError>> {
+    if (switches.down) return err(DOWN)
+    if (switches.slowMs > 0) await pause(switches.slowMs)
+    return call()
+  }
+
+  function write (name: string, value: unknown, expectedVersion: number): Result<number, PlatformError> {
+    const currentVersion = objects.get(name)?.version ?? 0
+    if (currentVersion !== expectedVersion) return err({ type: 'conflict', currentVersion })
+    // A copy, so that a later change of the caller's value doesn't change the stored one.
+    objects.set(name, { version: expectedVersion + 1, value: structuredClone(value) })
+    for (const wake of [...watchers]) wake()
+    if (switches.loseReplies === 0) return ok(expectedVersion + 1)
+    switches.loseReplies -= 1
+    return err({ type: 'reply-lost', reason: 'switched off' })
+  }
+
+  /** Ends at the next write, at the abort of the signal or after the time. */
+  async function waitForWrite (limitMs: number, signal: AbortSignal): Promise<void> {
+    const written = new AbortController()
+    const wake = (): void => written.abort()
+    watchers.add(wake)
+    signal.addEventListener('abort', wake)
+    await pause(limitMs, written.signal)
+    signal.removeEventListener('abort', wake)
+    watchers.delete(wake)
+  }
+
+  async function watch (name: string, aboveVersion: number, signal: AbortSignal): Promise<Result<StoredObject | undefined, PlatformError>> {
+    const endAt = monotonicNow() + WATCH_LIMIT_MS
+    for (;;) {
+      const object = objects.get(name)
+      if (switches.down) return err(DOWN)
+      if (object !== undefined && object.version > aboveVersion) return ok(object)
+      if (signal.aborted) return err({ type: 'unavailable', reason: 'aborted' })
+      const leftMs = endAt - monotonicNow()
+      if (leftMs <= 0) return ok(undefined)
+      await waitForWrite(leftMs, signal)
+    }
+  }
+
+  return {
+    switches,
+    instances,
+    get: async name => await run(() => {
+      const object = objects.get(name)
+      return object === undefined ? err({ type: 'not-found' }) : ok(object)
+    }),
+    put: async (name, value, expectedVersion) => await run(() => write(name, value, expectedVersion)),
+    watch,
+    list: async () => await run(() => ok([...instances.values()]))
+  }
+}
--- /dev/null
+++ b/packages/platform/src/pause.ts
@@ -0,0 +1,17 @@
+/**
+ * Waits on the global timers, which tests pause and advance. `node:timers/promises` is not paused by them.
+ */
+
+/** Resolves after `durationMs`, or as soon as the signal is aborted. */
+export async function pause (durationMs: number, signal?: AbortSignal): Promise<void> {
+  if (signal?.aborted === true) return
+  await new Promise<void>(resolve => {
+    const done = (): void => {
+      clearTimeout(timer)
+      signal?.removeEventListener('abort', done)
+      resolve()
+    }
+    const timer = setTimeout(done, durationMs)
+    signal?.addEventListener('abort', done)
+  })
+}
--- /dev/null
+++ b/packages/platform/tests/configuration-writer.test.ts
@@ -0,0 +1,122 @@
+import type { Configuration } from '@arbutustray/core'
+import type { ConfigurationWriter, ObjectStore } from '../src/index.js'
+import fc from 'fast-check'
+import { EMPTY_CONFIGURATION, RECENT_CHANGES } from '@arbutustray/core'
+import { err, ok } from 'neverthrow'
+import { describe, expect, it, vi } from 'vitest'
+import { CONFIGURATION_OBJECT, createConfigurationWriter, createMemoryPlatform, settleWrite } from '../src/index.js'
+
+const change = (changeId: string, baseVersion = 0, region = changeId) => ({
+  baseVersion,
+  changeId,
+  actor: 'operator',
+  reason: 'test',
+  at: 0,
+  operations: [{ table: 'regions' as const, put: { id: region } }]
+})
+
+async function commit (writer: ConfigurationWriter, changeId: string, baseVersion = 0) {
+  const result = writer.commit(change(changeId, baseVersion))
+  await vi.advanceTimersByTimeAsync(10_000)
+  return await result
+}
+
+async function stored (store: ObjectStore): Promise<Configuration> {
+  return (await store.get(CONFIGURATION_OBJECT)).map(object => object.value as Configuration).unwrapOr(EMPTY_CONFIGURATION)
+}
+
+describe('configuration writer', () => {
+  it('settles a lost reply by reading back, guarding against a second write or a false refusal', async () => {
+    const platform = createMemoryPlatform()
+    platform.switches.loseReplies = 1
+    const result = await commit(createConfigurationWriter({ store: platform }), 'a')
+    expect(result._unsafeUnwrap().version).toBe(1)
+    expect((await stored(platform)).recent.map(recent => recent.changeId)).toEqual(['a'])
+  })
+
+  it('answers a repeated change id with the stored configuration, guarding against a change that applies twice', async () => {
+    const platform = createMemoryPlatform()
+    const writer = createConfigurationWriter({ store: platform })
+    await commit(writer, 'a')
+    await commit(writer, 'b', 1)
+    expect((await commit(writer, 'a'))._unsafeUnwrap().version).toBe(2)
+  })
+
+  it('answers `unavailable` when nothing was written and `unknown` when a write is in doubt', async () => {
+    const platform = createMemoryPlatform()
+    const writer = createConfigurationWriter({ store: platform })
+    platform.switches.down = true
+    expect((await commit(writer, 'a'))._unsafeUnwrapErr().type).toBe('unavailable')
+    platform.switches.down = false
+    const store: ObjectStore = {
+      ...platform,
+      put: async (...write) => {
+        platform.switches.loseReplies = 1
+        const result = await platform.put(...write)
+        platform.switches.down = true
+        return result
+      }
+    }
+    expect((await commit(createConfigurationWriter({ store }), 'a'))._unsafeUnwrapErr().type).toBe('unknown')
+  })
+
+  it('does not write over a store that is older than the base, guarding against a rollback', async () => {
+    const result = await commit(createConfigurationWriter({ store: createMemoryPlatform() }), 'a', 5)
+    expect(result._unsafeUnwrapErr().type).toBe('rejected')
+  })
+
+  it('reports every change as it took effect, guarding against forks and false answers under any failures', async () => {
+    const outcome = fc.constantFrom('ok', 'not-sent', 'lost-before', 'lost-after', 'read-fails')
+    await fc.assert(fc.asyncProperty(fc.array(outcome, { maxLength: 40 }), async outcomes => {
+      const platform = createMemoryPlatform()
+      let calls = 0
+      const store: ObjectStore = {
+        ...platform,
+        get: async name => outcomes[calls++] === 'read-fails' ? err({ type: 'unavailable', reason: 'test' }) : await platform.get(name),
+        put: async (...write) => {
+          const failure = outcomes[calls++]
+          if (failure === 'not-sent') return err({ type: 'unavailable', reason: 'test' })
+          if (failure === 'lost-before') return err({ type: 'reply-lost', reason: 'test' })
+          const result = await platform.put(...write)
+          return failure === 'lost-after' && result.isOk() ? err({ type: 'reply-lost', reason: 'test' }) : result
+        }
+      }
+      const ids = ['a', 'b', 'c']
+      const commits = ids.map(async id => await createConfigurationWriter({ store, deadlineMs: 1_000 }).commit(change(id)))
+      await vi.advanceTimersByTimeAsync(5_000)
+      const results = await Promise.all(commits)
+      const configuration = await stored(platform)
+      const written = configuration.recent.map(recent => recent.changeId)
+      expect(written.length).toBeLessThanOrEqual(1)
+      expect(configuration.version).toBe(written.length)
+      ids.forEach((id, index) => {
+        const result = results[index]!
+        if (result.isOk()) expect(written).toEqual([id])
+        else if (result.error.type !== 'unknown') expect(written).not.toContain(id)
+      })
+    }))
+  })
+})
+
+describe('settleWrite', () => {
+  it('decides by the change after the base, guarding against a guess once that change is no longer stored', () => {
+    const recent = Array.from({ length: RECENT_CHANGES }, (_, index) => ({ ...change(`c${index}`), version: index + 2 }))
+    const configuration = { ...EMPTY_CONFIGURATION, version: RECENT_CHANGES + 1, recent }
+    expect(settleWrite(configuration, change('x', 1))).toBe('lost-race')
+    expect(settleWrite(configuration, change('x', 0))).toBe('undecidable')
+    expect(settleWrite(configuration, change('x', RECENT_CHANGES + 1))).toBe('open')
+    expect(settleWrite(configuration, change('c3', 0))).toBe('written')
+  })
+})
+
+describe('memory platform', () => {
+  it('ends a watch at the next write, guarding against a change that is seen only after the limit', async () => {
+    const platform = createMemoryPlatform()
+    const watch = platform.watch('x', 0, new AbortController().signal)
+    await platform.put('x', { a: 1 }, 0)
+    expect(await watch).toEqual(ok({ version: 1, value: { a: 1 } }))
+    const idle = platform.watch('x', 1, new AbortController().signal)
+    await vi.advanceTimersByTimeAsync(25_000)
+    expect(await idle).toEqual(ok(undefined))
+  })
+})
