Add stand-ins of the platform and of upstreams

Cause: the daemon, the demo and failure tests need the outside systems as separate processes with failure switches. Ruled out: one process per upstream, which needs 47 processes for the association alone. Change: platform stand-in over the in-memory platform; upstream stand-in with slots, connection limit, seeded service times, refusal before running, drain, deadline, cancellation, faults and run log; a host for many of them; tests of the HTTP platform client against the stand-in; docs/standins.md.

--- a/packages/platform/src/memory-platform.ts
+++ b/packages/platform/src/memory-platform.ts
@@ -73,7 +73,9 @@
     for (;;) {
       const object = objects.get(name)
       if (switches.down) return err(DOWN)
-      if (object !== undefined && object.version > aboveVersion) return ok(object)
+      if (object !== undefined && object.version > aboveVersion) {
+        return await run(() => ok(objects.get(name) ?? object))
+      }
       if (signal.aborted) return err({ type: 'unavailable', reason: 'aborted' })
       const leftMs = endAt - monotonicNow()
       if (leftMs <= 0) return ok(undefined)
--- /dev/null
+++ b/packages/standins/src/http-server.ts
@@ -0,0 +1,52 @@
+/**
+ * What the stand-ins' servers share: JSON bodies, listening and closing.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { once } from 'node:events'
+import { json } from 'node:stream/consumers'
+
+/** Handles one call of a control interface and returns the body of its answer. */
+export type Call = (request: IncomingMessage, url: URL) => Promise<unknown> | unknown
+
+/** Calls by `METHOD /path`. */
+export type Calls = Readonly<Record<string, Call>>
+
+/** Reads the whole body as JSON; an empty body is `{}`. */
+export async function readJson (request: IncomingMessage): Promise<any> {
+  return request.headers['content-length'] === '0' ? {} : await json(request)
+}
+
+/** Sends a complete answer. An `undefined` body has length 0. */
+export function sendJson (response: ServerResponse, status: number, body?: unknown): void {
+  const text = body === undefined ? '' : JSON.stringify(body)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }).end(text)
+}
+
+/** Answers from a table of calls; false if the table has no such call. */
+export async function answerCall (calls: Calls, request: IncomingMessage, response: ServerResponse): Promise<boolean> {
+  const url = new URL(request.url ?? '/', 'http://localhost')
+  const call = calls[`${request.method} ${url.pathname}`]
+  if (call === undefined) return false
+  try {
+    sendJson(response, 200, await call(request, url) ?? {})
+  } catch (error) {
+    sendJson(response, 400, { error: String(error) })
+  }
+  return true
+}
+
+/** Listens on the loopback interface and returns `host:port`. Port 0 lets the system choose. */
+export async function listen (server: Server, port: number): Promise<string> {
+  server.listen(port, '127.0.0.1')
+  await once(server, 'listening')
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+/** Closes the server and all its connections. */
+export async function close (server: Server): Promise<void> {
+  if (!server.listening) return
+  server.close()
+  server.closeAllConnections()
+  await once(server, 'close')
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+export * from './platform/start-platform.js'
+export * from './upstream/run-log.js'
+export * from './upstream/start-upstream.js'
+export * from './upstream/start-upstream-host.js'
+export * from './upstream/upstream-options.js'
