Add telemetry and a daemon that serves requests and look-ups

Cause: the decision package had no program around it. Ruled out: the bundler condition 'module' in vitest.config.ts, which resolved @opentelemetry/api to a build that Node itself never loads and that lacks file extensions. Change: packages/telemetry (log events, metrics, traces), packages/entry with the caller port, streamed exchanges, undici attempts and the event loop. attempt-refused gains bodyConsumed and reason, attempt-failed gains reason. Result: npm test passes; the minimal engine does not react to request-cancelled, so an abandoned attempt ends only by its time-out.

--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -4,6 +4,7 @@
  */
 import type { Configuration } from './configuration.js'
 import type { Heartbeat } from './heartbeat.js'
+import type { Reason } from './reason.js'
 
 /** One entry of the platform's lagging list. */
 export interface ListedInstance {
@@ -60,6 +61,10 @@
   readonly proof: 'not-written' | 'shed'
   /** The receiver announced that it is leaving. */
   readonly leaving?: boolean
+  /** Part of a streamed request body was read for this attempt, so the request can't be sent again. */
+  readonly bodyConsumed?: boolean
+  /** Reason that another entry instance stated for its refusal. */
+  readonly reason?: Reason
 }
 
 /** Status and headers of the answer were read. */
@@ -83,6 +88,8 @@
   readonly type: 'attempt-failed'
   readonly attemptId: string
   readonly truncated: boolean
+  /** Reason that another entry instance stated for the unknown outcome. */
+  readonly reason?: Reason
 }
 
 /** The caller closed its exchange. */
--- /dev/null
+++ b/packages/entry/src/commands.ts
@@ -0,0 +1,42 @@
+/**
+ * Carries out the engine's commands, by a table of handlers.
+ */
+import type { Command, PullConfiguration, SendHeartbeat } from '@arbutustray/core'
+import type { Telemetry } from '@arbutustray/telemetry'
+import type { Exchange } from './exchange.js'
+import type { UpstreamClient } from './upstream-client.js'
+
+/** What the commands act on. */
+export interface CommandTargets {
+  readonly exchanges: ReadonlyMap<string, Exchange>
+  readonly upstreamClient: UpstreamClient
+  readonly sendHeartbeat: (command: SendHeartbeat) => void
+  readonly pullConfiguration: (command: PullConfiguration) => void
+  /** The planned stop is complete. */
+  readonly onStopped: () => void
+  readonly telemetry: Telemetry
+}
+
+type Handlers = { readonly [T in Command['type']]: (command: Extract<Command, { type: T }>) => void }
+
+/** Creates the function that carries out one command. Commands for an exchange that has ended have no effect. */
+export function createExecutor (targets: CommandTargets): (command: Command) => void {
+  const { exchanges, upstreamClient, telemetry } = targets
+  const handlers: Handlers = {
+    dispatch: upstreamClient.dispatch,
+    forward: upstreamClient.forward,
+    'cancel-attempt': upstreamClient.cancel,
+    relay: upstreamClient.relay,
+    replay: command => exchanges.get(command.requestId)?.replay(command.answer),
+    respond: command => exchanges.get(command.requestId)
+      ?.respond(command.outcome, command.reason, command.status, command.retryAfterMs),
+    reset: command => {
+      telemetry.log('caller-reset', { requestId: command.requestId, reason: command.reason })
+      exchanges.get(command.requestId)?.reset(command.reason)
+    },
+    'send-heartbeat': targets.sendHeartbeat,
+    'pull-configuration': targets.pullConfiguration,
+    stopped: targets.onStopped
+  }
+  return command => (handlers[command.type] as (command: Command) => void)(command)
+}
--- /dev/null
+++ b/packages/entry/src/exchange.ts
@@ -0,0 +1,131 @@
+/**
+ * The caller's side of one request, from its arrival to the end of its answer. It knows nothing of attempts beyond
+ * the callbacks that they register.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { REASONS } from '@arbutustray/core'
+import type { Outcome, Reason, RecordedAnswer, RequestKind } from '@arbutustray/core'
+import type { Hop } from '@arbutustray/telemetry'
+import { HEADER } from './headers.js'
+import { discardRest } from './request-body.js'
+import type { RequestBody } from './request-body.js'
+
+/** What is known of a request when it enters the engine. */
+export interface ExchangeOptions {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  /** Identity inside this instance. */
+  readonly requestId: string
+  /** `x-request-id` towards the caller. */
+  readonly callerId: string
+  /** `x-request-id` towards upstreams; differs from `callerId` if another live request uses that one. */
+  readonly wireId: string
+  readonly service: string
+  readonly method: string
+  /** Path with query, as the next hop receives it below the service. */
+  readonly target: string
+  /** Raw headers that go to the next hop. */
+  readonly headers: readonly string[]
+  readonly body: RequestBody
+  /** The request has an idempotency key, so its answer may have to be recorded. */
+  readonly keyed: boolean
+  readonly hop: Hop
+  readonly instanceId: string
+  readonly version: () => number
+  /** Called once, when the answer was handed over whole or the caller's connection has ended. */
+  readonly onEnd: (exchange: Exchange, end: ExchangeEnd) => void
+}
+
+/** How an exchange ended, for metrics and traces. */
+export interface ExchangeEnd {
+  readonly outcome: Outcome
+  readonly reason: Reason
+  /** The caller closed its connection before the answer was whole. */
+  readonly cancelled: boolean
+}
+
+/** One live exchange with a caller. */
+export class Exchange {
+  readonly arrivedAt = performance.now()
+  /** Kind of the matching route, for metrics. */
+  kind: RequestKind | 'unclassified' = 'unclassified'
+  #end: ExchangeEnd = { outcome: 'unknown', reason: 'client-cancelled', cancelled: true }
+  #ended = false
+  #onDrain: (() => void) | undefined
+
+  constructor (readonly options: ExchangeOptions) {
+    options.response.on('close', () => this.#finish(this.#end))
+    options.response.on('drain', () => this.#onDrain?.())
+  }
+
+  /** The caller can no longer be answered, or was answered. */
+  get ended (): boolean {
+    return this.#ended
+  }
+
+  /** The system itself answers. Resets the exchange if part of an answer was already sent. */
+  respond (outcome: Outcome, reason: Reason, status: number, retryAfterMs?: number): void {
+    const { response, callerId } = this.options
+    if (this.#ended) return
+    if (response.headersSent) return this.reset(reason)
+    const body = Buffer.from(JSON.stringify({ outcome, reason, message: REASONS[reason], requestId: callerId }))
+    const headers = ['content-type', 'application/json', 'content-length', String(body.length)]
+    if (retryAfterMs !== undefined) headers.push('retry-after', String(Math.ceil(retryAfterMs / 1_000)))
+    this.begin(status, headers, outcome, reason)
+    response.end(body)
+  }
+
+  /** Answers from a recorded answer. Without a recorded body only status and outcome are sent. */
+  replay (answer: RecordedAnswer): void {
+    if (this.#ended) return
+    const kept = answer.headers.filter(([name]) => answer.body !== undefined || name.toLowerCase() !== 'content-length')
+    this.begin(answer.status, kept.flat(), 'served', 'replayed')
+    this.options.response.end(answer.body)
+  }
+
+  /** Sends status and headers of an answer. */
+  begin (status: number, headers: readonly string[], outcome: Outcome, reason: Reason): void {
+    const { response, callerId, instanceId, version } = this.options
+    if (this.#ended || response.headersSent) return
+    this.#end = { outcome, reason, cancelled: true }
+    response.writeHead(status, [
+      ...headers,
+      HEADER.outcome, outcome,
+      HEADER.reason, reason,
+      HEADER.instance, instanceId,
+      HEADER.version, String(version()),
+      HEADER.requestId, callerId
+    ])
+  }
+
+  /** Hands over a part of the body. Returns false if the caller must read first; `onDrain` is called then. */
+  write (chunk: Uint8Array, onDrain: () => void): boolean {
+    if (this.#ended || this.options.response.write(chunk)) return true
+    this.#onDrain = onDrain
+    return false
+  }
+
+  /** Ends the answer. */
+  end (): void {
+    if (!this.#ended) this.options.response.end()
+  }
+
+  /** Closes the caller's connection, so that a part of an answer can't be taken for the whole. */
+  reset (reason: Reason): void {
+    if (this.#ended) return
+    this.#end = { outcome: 'unknown', reason, cancelled: false }
+    this.options.response.destroy()
+  }
+
+  #finish (end: ExchangeEnd): void {
+    if (this.#ended) return
+    this.#ended = true
+    const { request, response, hop, onEnd } = this.options
+    const whole = response.writableFinished
+    // An attempt that goes on without its caller must not wait for the caller to read.
+    this.#onDrain?.()
+    if (whole) discardRest(request)
+    hop.end({ outcome: end.outcome, reason: end.reason })
+    onEnd(this, { ...end, cancelled: end.cancelled && !whole })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http-server.ts
@@ -0,0 +1,111 @@
+/**
+ * A Node HTTP server with the limits that keep slow, malformed and oversized requests from costing others anything.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import type { Telemetry } from '@arbutustray/telemetry'
+import { formatAddress, parseAddress } from './address.js'
+import { countRejection } from './reject.js'
+import type { Rejection } from './reject.js'
+
+export interface HttpLimits {
+  readonly maxHeaderBytes: number
+  readonly maxConnections: number
+  /** Time in which the headers of a request must arrive, in milliseconds. */
+  readonly headersTimeoutMs: number
+  /** Time without a byte after which a connection that waits for its caller is closed, in milliseconds. */
+  readonly idleTimeoutMs: number
+}
+
+export interface HttpServerOptions {
+  readonly limits: HttpLimits
+  readonly telemetry: Telemetry
+}
+
+export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void
+
+export interface HttpServer {
+  /** Sets the handler. Requests that come earlier are closed unanswered. */
+  readonly serve: (handler: RequestHandler) => void
+  /** Listens and returns the address with the actual port. */
+  readonly listen: (address: string) => Promise<string>
+  /** Refuses new connections and waits for the live exchanges, or breaks them if `force` is set. */
+  readonly close: (force: boolean) => Promise<void>
+}
+
+/** How often Node checks `headersTimeout`, in milliseconds. Its default of 30 s would let slow clients stay longer. */
+const TIMEOUT_CHECK_MS = 1_000
+
+const PARSE_REJECTIONS: Readonly<Record<string, Rejection>> = {
+  HPE_HEADER_OVERFLOW: { status: 431, reason: 'request-too-large' },
+  ERR_HTTP_REQUEST_TIMEOUT: { status: 408, reason: 'deadline-passed' }
+}
+
+const MALFORMED: Rejection = { status: 400, reason: 'request-malformed' }
+
+const STATUS_TEXTS: Readonly<Record<number, string>> = {
+  400: 'Bad Request', 408: 'Request Timeout', 431: 'Request Header Fields Too Large'
+}
+
+/** Creates a server that does not listen yet. */
+export function createHttpServer (options: HttpServerOptions): HttpServer {
+  const { limits, telemetry } = options
+  const live = new WeakMap<Socket, ServerResponse>()
+
+  let handler: RequestHandler = request => request.destroy()
+  const handle: RequestHandler = (request, response) => {
+    live.set(request.socket, response)
+    handler(request, response)
+  }
+  const server = createServer({
+    maxHeaderSize: limits.maxHeaderBytes,
+    headersTimeout: limits.headersTimeoutMs,
+    // Uploads may take longer than any fixed time; the idle time-out ends those that make no progress.
+    requestTimeout: 0,
+    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    keepAliveTimeout: limits.idleTimeoutMs
+  }, handle)
+  server.maxConnections = limits.maxConnections
+  server.timeout = limits.idleTimeoutMs
+  server.on('timeout', socket => { if (!waitsForUs(live.get(socket))) socket.destroy() })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => rejectUnparsed(error, socket, telemetry))
+
+  return {
+    serve: value => { handler = value },
+    listen: async address => await listen(server, address),
+    close: async force => await new Promise(resolve => {
+      server.close(() => resolve())
+      server.closeIdleConnections()
+      if (force) server.closeAllConnections()
+    })
+  }
+}
+
+/** The caller has sent its request and read all that was written: the silence is not its fault. */
+function waitsForUs (response: ServerResponse | undefined): boolean {
+  return response !== undefined && !response.writableEnded && response.req.complete && response.writableLength === 0
+}
+
+function rejectUnparsed (error: NodeJS.ErrnoException, socket: Duplex, telemetry: Telemetry): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy()
+    return
+  }
+  const rejection = PARSE_REJECTIONS[error.code ?? ''] ?? MALFORMED
+  countRejection(rejection, telemetry)
+  socket.end(`HTTP/1.1 ${rejection.status} ${STATUS_TEXTS[rejection.status]}\r\nconnection: close\r\n` +
+    `arbutustray-outcome: not-run\r\narbutustray-reason: ${rejection.reason}\r\ncontent-length: 0\r\n\r\n`)
+}
+
+async function listen (server: Server, address: string): Promise<string> {
+  const { host, port } = parseAddress(address)
+  return await new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, () => {
+      server.off('error', reject)
+      resolve(formatAddress({ host, port: (server.address() as AddressInfo).port }))
+    })
+  })
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './daemon.js'
+export * from './settings.js'
--- /dev/null
+++ b/packages/entry/src/json-body.ts
@@ -0,0 +1,51 @@
+/**
+ * Reads small JSON bodies of the system's own calls.
+ */
+import type { IncomingMessage } from 'node:http'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { z } from 'zod'
+import { BUFFERED_BODY_BYTES, readBody } from './request-body.js'
+import type { BodyFault } from './request-body.js'
+import type { Rejection } from './reject.js'
+
+/** Why a JSON body was not accepted. */
+export interface JsonError extends Rejection {
+  /** Names the field and what was expected. */
+  readonly detail: string
+}
+
+const FAULTS: Readonly<Record<BodyFault, JsonError>> = {
+  'too-large': { status: 413, reason: 'request-too-large', detail: `body exceeds ${BUFFERED_BODY_BYTES} bytes` },
+  'too-slow': { status: 408, reason: 'deadline-passed', detail: 'body did not arrive in time' },
+  closed: { status: 400, reason: 'client-cancelled', detail: 'connection closed' }
+}
+
+/** Time in which the body must arrive, in milliseconds. */
+const BODY_TIMEOUT_MS = 10_000
+
+/** Reads and checks a JSON body. `done` is called once. */
+export function readJson<T> (
+  request: IncomingMessage, schema: z.ZodType<T>, done: (result: Result<T, JsonError>) => void
+): void {
+  readBody(request, {
+    maxBytes: BUFFERED_BODY_BYTES,
+    bufferTimeoutMs: BODY_TIMEOUT_MS,
+    onBody: body => done(parseJson(body.type === 'buffered' ? body.bytes.toString('utf8') : '', schema)),
+    onFault: fault => done(err(FAULTS[fault]))
+  })
+}
+
+function parseJson<T> (text: string, schema: z.ZodType<T>): Result<T, JsonError> {
+  const malformed = (detail: string): Result<T, JsonError> => err({ status: 400, reason: 'request-malformed', detail })
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch {
+    return malformed('body is not JSON')
+  }
+  const parsed = schema.safeParse(value)
+  if (parsed.success) return ok(parsed.data)
+  const issue = parsed.error.issues[0]
+  return malformed(`${issue.path.join('.')}: ${issue.message}`)
+}
--- /dev/null
+++ b/packages/entry/src/reject.ts
@@ -0,0 +1,41 @@
+/**
+ * Answers requests that never enter the engine, because they are malformed, too large or over a limit.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { REASONS } from '@arbutustray/core'
+import type { Reason } from '@arbutustray/core'
+import type { Telemetry } from '@arbutustray/telemetry'
+import { HEADER } from './headers.js'
+import { discardRest } from './request-body.js'
+
+export interface Rejection {
+  readonly status: number
+  readonly reason: Reason
+}
+
+/** Rejects a request whose headers were read. */
+export function reject (
+  request: IncomingMessage, response: ServerResponse, { status, reason }: Rejection, telemetry: Telemetry
+): void {
+  countRejection({ status, reason }, telemetry)
+  if (response.headersSent || response.destroyed) return
+  response.on('finish', () => discardRest(request))
+  sendJson(response, status, { outcome: 'not-run', reason, message: REASONS[reason] }, {
+    [HEADER.outcome]: 'not-run', [HEADER.reason]: reason
+  })
+}
+
+/** Counts and logs a rejection. */
+export function countRejection ({ status, reason }: Rejection, telemetry: Telemetry): void {
+  telemetry.metrics.increment('arbutustray_rejected_requests_total', { status: String(status) })
+  telemetry.log('request-rejected', { status, reason })
+}
+
+/** Sends a whole JSON answer. */
+export function sendJson (
+  response: ServerResponse, status: number, value: unknown, headers: Readonly<Record<string, string>> = {}
+): void {
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length, ...headers })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/entry/src/service-path.ts
@@ -0,0 +1,48 @@
+/**
+ * Splits the URL of a service request. The path that the engine classifies is decoded, so that an encoded letter
+ * can't move a request from a protected route to another one; the path that upstreams receive is left as sent.
+ */
+
+export interface ServicePath {
+  readonly service: string
+  /** Path with query as sent, below the service; begins with `/`. */
+  readonly target: string
+  /** Decoded path without query, with single slashes; begins with `/`. */
+  readonly path: string
+}
+
+const MAX_SERVICE_LENGTH = 128
+
+// eslint-disable-next-line no-control-regex
+const FORBIDDEN = /[\u0000-\u001f\u007f\\]/
+
+/** Splits a URL that begins with `prefix`. Returns `undefined` if it is malformed or contains dot segments. */
+export function parseServicePath (url: string, prefix: string): ServicePath | undefined {
+  const query = url.indexOf('?')
+  const pathEnd = query === -1 ? url.length : query
+  const slash = url.indexOf('/', prefix.length)
+  const serviceEnd = slash === -1 || slash > pathEnd ? pathEnd : slash
+  const service = decode(url.slice(prefix.length, serviceEnd))
+  if (service === undefined || service === '' || service.length > MAX_SERVICE_LENGTH) return undefined
+  const path = normalize(url.slice(serviceEnd, pathEnd))
+  if (path === undefined) return undefined
+  const target = serviceEnd === pathEnd ? `/${url.slice(pathEnd)}` : url.slice(serviceEnd)
+  return { service, target, path }
+}
+
+function decode (text: string): string | undefined {
+  if (!text.includes('%')) return text
+  try {
+    return decodeURIComponent(text)
+  } catch {
+    return undefined
+  }
+}
+
+function normalize (raw: string): string | undefined {
+  const decoded = decode(raw)
+  if (decoded === undefined || FORBIDDEN.test(decoded)) return undefined
+  const path = decoded.includes('//') ? decoded.replace(/\/{2,}/g, '/') : decoded
+  if (path.includes('/.') && path.split('/').some(segment => segment === '.' || segment === '..')) return undefined
+  return path === '' ? '/' : path
+}
--- /dev/null
+++ b/packages/entry/src/upstream-client.ts
@@ -0,0 +1,166 @@
+/**
+ * Starts, relays and cancels attempts over undici pools, one pool for each address.
+ */
+import type { CancelAttempt, Dispatch, Forward, Relay } from '@arbutustray/core'
+import type { HopName, Telemetry } from '@arbutustray/telemetry'
+import { Pool } from 'undici'
+import type { Dispatcher } from 'undici'
+import { Attempt } from './attempt.js'
+import type { AttemptTarget } from './attempt.js'
+import type { Emit } from './event-loop.js'
+import type { Exchange } from './exchange.js'
+import { HEADER } from './headers.js'
+
+/** Time in which a connection must be made, in milliseconds. A failure before the write can be tried elsewhere. */
+const CONNECT_TIMEOUT_MS = 1_000
+
+/** The engine ends attempts at their deadline; undici's own limit only catches attempts that the engine has lost. */
+const DEADLINE_SLACK_MS = 5_000
+
+/** A pool that was not used for this long is closed, in milliseconds. */
+const POOL_IDLE_MS = 60_000
+
+const FORWARD_PREFIX = '/v1/forward/'
+
+export interface UpstreamClientOptions {
+  readonly instanceId: string
+  readonly peerToken: string
+  /** Time without a byte after which an answer counts as broken, in milliseconds. */
+  readonly idleTimeoutMs: number
+  readonly exchanges: ReadonlyMap<string, Exchange>
+  /** Name of the refusal header of a service. */
+  readonly refusalHeader: (service: string) => string
+  readonly emit: Emit
+  readonly telemetry: Telemetry
+}
+
+export interface UpstreamClient {
+  readonly dispatch: (command: Dispatch) => void
+  readonly forward: (command: Forward) => void
+  readonly cancel: (command: CancelAttempt) => void
+  readonly relay: (command: Relay) => void
+  /** Closes all connections at once. */
+  readonly close: () => Promise<void>
+}
+
+interface PoolEntry {
+  readonly pool: Pool
+  usedAt: number
+  live: number
+}
+
+interface Start {
+  readonly requestId: string
+  readonly attemptId: string
+  readonly address: string
+  readonly timeoutMs: number
+  readonly target: AttemptTarget
+  readonly hop: HopName
+  readonly path: (exchange: Exchange) => string
+  readonly headers: readonly string[]
+}
+
+/** Creates the client for attempts. */
+export function createUpstreamClient (options: UpstreamClientOptions): UpstreamClient {
+  const attempts = new Map<string, Attempt>()
+  const pools = new Map<string, PoolEntry>()
+  const sweep = setInterval(closeIdlePools, POOL_IDLE_MS / 2).unref()
+
+  function closeIdlePools (): void {
+    for (const [address, entry] of pools) {
+      if (entry.live > 0 || performance.now() - entry.usedAt < POOL_IDLE_MS) continue
+      pools.delete(address)
+      entry.pool.close().catch(() => {})
+    }
+  }
+
+  function poolFor (address: string): PoolEntry {
+    let entry = pools.get(address)
+    if (entry === undefined) {
+      const pool = new Pool(`http://${address}`, {
+        connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: options.idleTimeoutMs
+      })
+      entry = { pool, usedAt: 0, live: 0 }
+      pools.set(address, entry)
+    }
+    entry.usedAt = performance.now()
+    return entry
+  }
+
+  function start (command: Start): void {
+    const { attemptId, target } = command
+    const exchange = options.exchanges.get(command.requestId)
+    if (exchange === undefined) return options.emit({ type: 'attempt-refused', attemptId, proof: 'not-written' })
+    const { body } = exchange.options
+    if (body.type === 'streamed' && body.consumed()) {
+      // The engine may not know yet that the body is gone; the caller is answered and the engine drops the request.
+      exchange.respond('not-run', 'upstream-refused', 503)
+      return options.emit({ type: 'request-cancelled', requestId: command.requestId })
+    }
+    const entry = poolFor(command.address)
+    const hop = options.telemetry.traces.begin(command.hop, exchange.options.hop.traceparent)
+    const attempt = new Attempt({
+      attemptId,
+      exchange,
+      target,
+      refusalHeader: options.refusalHeader(exchange.options.service).toLowerCase(),
+      hop,
+      emit: options.emit,
+      telemetry: options.telemetry,
+      onEnd: () => {
+        entry.live -= 1
+        attempts.delete(attemptId)
+      }
+    })
+    entry.live += 1
+    attempts.set(attemptId, attempt)
+    entry.pool.dispatch(dispatchOptions(command, exchange, hop.traceparent), attempt)
+  }
+
+  return {
+    dispatch: command => start({
+      ...command,
+      target: { type: 'upstream', id: command.upstreamId },
+      hop: 'attempt',
+      path: exchange => exchange.options.target,
+      headers: []
+    }),
+    forward: command => start({
+      ...command,
+      target: { type: 'instance', id: command.instanceId },
+      hop: 'forward',
+      path: exchange => `${FORWARD_PREFIX}${exchange.options.service}${exchange.options.target}`,
+      headers: [
+        HEADER.forwardedBy, options.instanceId,
+        HEADER.originZone, command.originZone,
+        HEADER.tenant, command.tenant,
+        HEADER.keyHome, String(command.keyHome),
+        HEADER.peerToken, options.peerToken
+      ]
+    }),
+    cancel: command => attempts.get(command.attemptId)?.cancel(),
+    relay: command => attempts.get(command.attemptId)?.relay(command.reason),
+    close: async () => {
+      clearInterval(sweep)
+      await Promise.all([...pools.values()].map(async ({ pool }) => await pool.destroy()))
+    }
+  }
+}
+
+function dispatchOptions (command: Start, exchange: Exchange, traceparent: string): Dispatcher.DispatchOptions {
+  const { method, headers, body, wireId } = exchange.options
+  const timeoutMs = Math.max(0, Math.floor(command.timeoutMs))
+  return {
+    path: command.path(exchange),
+    method: method as Dispatcher.HttpMethod,
+    headers: [
+      ...headers,
+      ...command.headers,
+      HEADER.requestId, wireId,
+      HEADER.timeout, String(timeoutMs),
+      HEADER.traceparent, traceparent
+    ],
+    headersTimeout: timeoutMs + DEADLINE_SLACK_MS,
+    body: body.type === 'none' ? null : body.type === 'buffered' ? body.bytes : body.open()
+  }
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+export * from './log.js'
+export * from './log-event.js'
+export * from './metric.js'
+export * from './metrics.js'
+export * from './telemetry.js'
+export * from './traces.js'
--- /dev/null
+++ b/packages/telemetry/src/metric.ts
@@ -0,0 +1,68 @@
+/**
+ * The catalogue of metrics, with Prometheus naming. Labels only take values from the configuration or from fixed
+ * tables, so that callers can't create time series.
+ */
+
+/** One metric. */
+export interface Metric {
+  readonly type: 'counter' | 'gauge' | 'histogram'
+  readonly help: string
+  readonly labels: readonly string[]
+  /** Upper bounds, in the metric's unit; only for histograms. */
+  readonly buckets?: readonly number[]
+}
+
+const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 120, 600] as const
+
+export const METRICS = {
+  arbutustray_requests_total: {
+    type: 'counter',
+    help: 'Requests by service, outcome and reason; the service is `unknown` when it is not configured.',
+    labels: ['service', 'outcome', 'reason']
+  },
+  arbutustray_request_duration_seconds: {
+    type: 'histogram',
+    help: 'Time from the arrival of a request to the end of its answer, in seconds.',
+    labels: ['service', 'kind'],
+    buckets: LATENCY_BUCKETS_SECONDS
+  },
+  arbutustray_attempts_total: {
+    type: 'counter',
+    help: 'Attempts by kind of target (`upstream` or `instance`) and end (`finished`, `refused`, `failed`, `cancelled`).',
+    labels: ['target', 'end']
+  },
+  arbutustray_dropped_answers_total: {
+    type: 'counter',
+    help: 'Answers that named another request and were dropped.',
+    labels: ['target']
+  },
+  arbutustray_rejected_requests_total: {
+    type: 'counter',
+    help: 'Malformed and oversized requests by status.',
+    labels: ['status']
+  },
+  arbutustray_queue_length: { type: 'gauge', help: 'Requests that wait for a slot.', labels: ['service'] },
+  arbutustray_outstanding_attempts: { type: 'gauge', help: 'Attempts without an end.', labels: ['service'] },
+  arbutustray_configuration_version: { type: 'gauge', help: 'Version of the configuration in force; 0 without one.', labels: [] },
+  arbutustray_peers: { type: 'gauge', help: 'Other entry instances by state.', labels: ['state'] },
+  arbutustray_platform_calls_total: {
+    type: 'counter',
+    help: 'Calls to the platform by call and result (`ok` or `error`).',
+    labels: ['call', 'result']
+  },
+  arbutustray_event_loop_delay_seconds: {
+    type: 'gauge',
+    help: 'Delay of the event loop since the last scrape, in seconds.',
+    labels: ['quantile']
+  }
+} as const satisfies Readonly<Record<string, Metric>>
+
+export type MetricName = keyof typeof METRICS
+
+/** Names of the metrics of one type. */
+export type MetricNameOf<T extends Metric['type']> = {
+  [N in MetricName]: (typeof METRICS)[N]['type'] extends T ? N : never
+}[MetricName]
+
+/** Values of a metric's labels. All must be given. */
+export type Labels<N extends MetricName> = { readonly [L in (typeof METRICS)[N]['labels'][number]]: string }
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,68 @@
+/**
+ * Holds the values of the metrics of one instance and writes them in the Prometheus text format.
+ */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { METRICS } from './metric.js'
+import type { Labels, Metric, MetricName, MetricNameOf } from './metric.js'
+
+/** Metrics of one instance. */
+export interface Metrics {
+  readonly increment: <N extends MetricNameOf<'counter'>>(name: N, labels: Labels<N>) => void
+  /** Adds an observation in the metric's unit. */
+  readonly observe: <N extends MetricNameOf<'histogram'>>(name: N, labels: Labels<N>, value: number) => void
+  /** Replaces all values of a gauge. */
+  readonly replace: <N extends MetricNameOf<'gauge'>>(name: N, values: ReadonlyArray<readonly [Labels<N>, number]>) => void
+  /** The Prometheus text format. */
+  readonly text: () => Promise<string>
+  readonly contentType: string
+  /** Ends the measurement of the event loop's delay. */
+  readonly close: () => void
+}
+
+const LOOP_RESOLUTION_MS = 10
+const LOOP_QUANTILES = [50, 99, 100] as const
+const NANOSECONDS_PER_SECOND = 1e9
+
+type Collector = Counter | Gauge | Histogram
+
+const COLLECTORS: { readonly [T in Metric['type']]: (name: string, metric: Metric, registers: Registry[]) => Collector } = {
+  counter: (name, { help, labels }, registers) => new Counter({ name, help, labelNames: labels, registers }),
+  gauge: (name, { help, labels }, registers) => new Gauge({ name, help, labelNames: labels, registers }),
+  histogram: (name, { help, labels, buckets }, registers) =>
+    new Histogram({ name, help, labelNames: labels, registers, buckets: [...buckets ?? []] })
+}
+
+/** Creates the metrics of the catalogue in a registry of their own. */
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  const collectors = new Map<string, Collector>()
+  for (const [name, metric] of Object.entries<Metric>(METRICS)) {
+    collectors.set(name, COLLECTORS[metric.type](name, metric, [registry]))
+  }
+  const get = (name: MetricName): Collector => collectors.get(name) as Collector
+  const loop = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS })
+  loop.enable()
+
+  const replace: Metrics['replace'] = (name, values) => {
+    const gauge = get(name) as Gauge
+    gauge.reset()
+    for (const [labels, value] of values) gauge.set(labels, value)
+  }
+
+  return {
+    increment: (name, labels) => (get(name) as Counter).inc(labels),
+    observe: (name, labels, value) => (get(name) as Histogram).observe(labels, value),
+    replace,
+    text: async () => {
+      // The histogram counts a timer's whole interval; only the part above the resolution is delay.
+      const delay = (quantile: number): number =>
+        Math.max(0, loop.percentile(quantile) / NANOSECONDS_PER_SECOND - LOOP_RESOLUTION_MS / 1_000)
+      replace('arbutustray_event_loop_delay_seconds', LOOP_QUANTILES.map(quantile => [{ quantile: String(quantile / 100) }, delay(quantile)]))
+      loop.reset()
+      return await registry.metrics()
+    },
+    contentType: registry.contentType,
+    close: () => loop.disable()
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,6 @@
 import { defineConfig } from 'vitest/config'
 
-const resolve = { conditions: ['source', 'module', 'node', 'import', 'default'] }
+const resolve = { conditions: ['source', 'node', 'import', 'default'] }
 const ssr = { resolve }
 
 /** Unit tests run on a paused clock; `real` and `processes` tests use the runtime's clock. */
