Add the routing system with dispatch, forwarding, queues and deadlines

Cause: requests went to any upstream of the own zone without slots, deadlines, retries or keys. Ruled out: refusing before the key is claimed, because a repeated key could be told not-run after a configuration change although its first attempt ran; cutting off an answer in flight at its deadline, because the caller would lose a response that it is about to have.

--- /dev/null
+++ b/packages/core/src/routing/answer-status.ts
@@ -0,0 +1,28 @@
+/**
+ * HTTP status and retry advice of the answers that the system itself gives.
+ */
+import type { Respond } from '../command.js'
+import type { Outcome, Reason } from '../reason.js'
+
+const STATUS_BY_OUTCOME: { readonly [O in Outcome]: number } = { served: 200, 'not-run': 503, unknown: 502 }
+
+const STATUS_BY_REASON: { readonly [R in Reason]?: number } = {
+  'deadline-passed': 504,
+  'request-malformed': 400,
+  'request-too-large': 413,
+  'key-required': 400
+}
+
+/** Advised wait after a refusal that passes by itself, in milliseconds: one heartbeat interval. */
+const RETRY_AFTER_MS = 1_000
+
+const TRANSIENT: ReadonlySet<Reason> = new Set([
+  'no-capacity', 'queue-full', 'shift-cap', 'link-budget', 'retry-budget', 'instance-stopping', 'no-configuration'
+])
+
+/** Builds the answer for an outcome and its reason. */
+export function respond (requestId: string, outcome: Outcome, reason: Reason): Respond {
+  const status = STATUS_BY_REASON[reason] ?? STATUS_BY_OUTCOME[outcome]
+  const answer: Respond = { type: 'respond', requestId, outcome, reason, status }
+  return outcome === 'not-run' && TRANSIENT.has(reason) ? { ...answer, retryAfterMs: RETRY_AFTER_MS } : answer
+}
--- /dev/null
+++ b/packages/core/src/routing/arrival.ts
@@ -0,0 +1,141 @@
+/**
+ * Takes a new request: classifies it, asks the key store when it has a key, checks what can refuse it, and places it.
+ *
+ * A key is claimed before any check can refuse the request. Otherwise a repeated request could be told `not-run`
+ * because the configuration changed, although its first attempt ran.
+ */
+import type { Route, Service } from '../configuration.js'
+import type { RequestArrived } from '../event.js'
+import type { Claim } from '../idempotency/key-store.js'
+import type { Reason } from '../reason.js'
+import type { Request } from '../tables.js'
+import type { Progress } from './progress.js'
+import type { RoutingContext, Step } from './routing-context.js'
+import { respond } from './answer-status.js'
+import { complete, refuse } from './completion.js'
+import { forward, place } from './placement.js'
+import { createProgress } from './progress.js'
+import { setState } from './routing-context.js'
+
+/** Deadline of a request whose service is unknown, in milliseconds. */
+const FALLBACK_DEADLINE_MS = 10_000
+
+/** Time after the start of a planned stop in which new requests are still accepted, in milliseconds: callers keep
+ * using a look-up for its TTL of 5 s, and late retries follow. */
+export const STOP_ACCEPT_MS = 10_000
+
+/** The first route that matches. */
+export function matchRoute (service: Service, method: string, path: string): Route | undefined {
+  return service.routes.find(route =>
+    (route.method === '*' || route.method === method) && path.startsWith(route.prefix))
+}
+
+interface Arrival {
+  readonly event: RequestArrived
+  readonly service: Service | undefined
+  readonly route: Route | undefined
+  readonly claim: Claim | undefined
+}
+
+function createRequest (context: RoutingContext, arrival: Arrival, now: number): Request {
+  const { event, service, route, claim } = arrival
+  const { forwarded } = event
+  const origin = forwarded === undefined
+    ? context.parts.origin(event.client)
+    : { zone: forwarded.keyHome ? context.world.self.zone : forwarded.originZone, tenant: forwarded.tenant }
+  const timeoutMs = event.timeoutMs ?? service?.deadlineMs ?? FALLBACK_DEADLINE_MS
+  const request: Request = {
+    id: event.requestId,
+    service: event.service,
+    kind: route?.kind ?? (claim === undefined ? 'plain' : 'protected'),
+    length: route?.length ?? 'short',
+    tenant: origin.tenant,
+    originZone: origin.zone,
+    arrivedAt: now,
+    deadlineAt: now + timeoutMs,
+    state: 'running',
+    contentLength: event.contentLength ?? 0,
+    refusals: 0
+  }
+  return {
+    ...request,
+    ...(event.key === undefined ? {} : { key: event.key }),
+    ...(forwarded === undefined ? {} : { forwardedBy: forwarded.instanceId })
+  }
+}
+
+/** Whether the key's home sent the request here to have it run; it then accounts for the key itself. */
+function sentByHome ({ event, claim }: Arrival): boolean {
+  return claim?.type === 'forward' && event.forwarded?.keyHome === false &&
+    event.forwarded.instanceId === claim.instanceId
+}
+
+function register (context: RoutingContext, arrival: Arrival, now: number): { request: Request, progress: Progress } {
+  const { event, claim } = arrival
+  const request = createRequest(context, arrival, now)
+  const toHome = claim?.type === 'forward' && !sentByHome(arrival)
+  const progress = createProgress({
+    holdsKey: claim?.type === 'run',
+    keyHome: toHome ? claim.instanceId : undefined,
+    onlyHere: event.forwarded !== undefined && !event.forwarded.keyHome
+  })
+  context.world.requests.set(request.id, request)
+  context.progress.set(request.id, progress)
+  context.deadlines.add(request.deadlineAt, request.id)
+  return { request, progress }
+}
+
+function refusalReason (context: RoutingContext, arrival: Arrival, now: number): Reason | undefined {
+  const { event, service, route } = arrival
+  const { configuration, stoppingSince } = context.world
+  if (configuration === undefined) return 'no-configuration'
+  if (service === undefined) return 'unknown-service'
+  if (route === undefined) return 'unknown-route'
+  if (route.kind === 'protected' && event.key === undefined) return 'key-required'
+  if ((event.contentLength ?? 0) > service.maxBodyBytes) return 'request-too-large'
+  if (stoppingSince !== undefined && now - stoppingSince >= STOP_ACCEPT_MS) return 'instance-stopping'
+  return undefined
+}
+
+function admit (
+  context: RoutingContext, arrival: Arrival, request: Request, progress: Progress, step: Step
+): void {
+  const reason = refusalReason(context, arrival, step.now)
+  if (reason !== undefined) return refuse(context, request, reason, step)
+  context.parts.retries.recordRequest(request.service, step.now)
+  if (!progress.onlyHere) context.parts.shifts.recordRequest(request.service, request.originZone, step.now)
+  place(context, request, progress, step)
+}
+
+function forwardHome (context: RoutingContext, arrival: Arrival, request: Request, progress: Progress, step: Step): void {
+  const home = context.world.instances.get(progress.keyHome ?? '')
+  // A request that came here because of its key is not sent on: two instances would send it back and forth.
+  const unreachable = home === undefined || home.state === 'silent' || arrival.event.forwarded?.keyHome === true
+  if (unreachable) return refuse(context, request, 'key-home-unreachable', step)
+  if (step.now >= request.deadlineAt) return refuse(context, request, 'deadline-passed', step)
+  forward(context, request, progress, home, step)
+}
+
+/** Takes a request. */
+export function arrive (context: RoutingContext, event: RequestArrived, step: Step): void {
+  const service = context.index()?.services.get(event.service)
+  const route = service === undefined ? undefined : matchRoute(service, event.method, event.path)
+  const keyed = event.key !== undefined && (route === undefined || route.kind === 'protected')
+  const claim = keyed ? context.parts.keys.claim(event.key, event.requestId, step.now) : undefined
+  const arrival = { event, service, route, claim }
+  const { request, progress } = register(context, arrival, step.now)
+  if (claim === undefined || claim.type === 'run' || sentByHome(arrival)) {
+    return admit(context, arrival, request, progress, step)
+  }
+  if (claim.type === 'forward') return forwardHome(context, arrival, request, progress, step)
+  if (claim.type === 'wait') {
+    setState(context, request, 'waiting-for-key')
+    return
+  }
+  if (claim.type === 'replay') {
+    const answer = { type: 'replay', requestId: request.id, answer: claim.answer } as const
+    return complete(context, request, { outcome: 'served', reason: 'replayed', answer }, step)
+  }
+  const { outcome, reason } = claim
+  complete(context, request, { outcome, reason, answer: respond(request.id, outcome, reason) }, step)
+}
--- /dev/null
+++ b/packages/core/src/routing/queue-service.ts
@@ -0,0 +1,60 @@
+/**
+ * Serves the queues whenever a slot may be free.
+ */
+import type { Request } from '../tables.js'
+import type { FairQueue } from '../limits/fair-queue.js'
+import type { RoutingContext, Step } from './routing-context.js'
+import { dispatch, place } from './placement.js'
+
+/** Removes queued requests that ended, so that they occupy no place in a queue. */
+export function sweepQueues (context: RoutingContext): void {
+  context.queues.removeEnded(id => context.world.requests.get(id)?.state !== 'queued')
+}
+
+function serveQueue (context: RoutingContext, queue: FairQueue<string>, step: Step): void {
+  for (let id = queue.peek(); id !== undefined; id = queue.peek()) {
+    const request = context.world.requests.get(id)
+    const progress = context.progress.get(id)
+    if (request?.state !== 'queued' || progress === undefined) {
+      queue.shift()
+      continue
+    }
+    const upstreamId = context.parts.upstreams.select(
+      request.service, context.world.self.zone, request.length, progress.tried, step.now)
+    if (upstreamId === undefined) return
+    queue.shift()
+    dispatch(context, request, progress, upstreamId, false, step)
+  }
+}
+
+/** Dispatches queued requests of a service while slots are free. */
+export function serveService (context: RoutingContext, service: string, step: Step): void {
+  for (const { queue } of context.queues.waiting(service)) serveQueue(context, queue, step)
+}
+
+/** Places the queued requests of a service anew when the own zone can no longer run them. */
+function replaceStranded (context: RoutingContext, service: string, step: Step): void {
+  const { zone } = context.world.self
+  const accepts = context.index()?.accepts(service, zone) === true
+  if (accepts && context.parts.slots.total(service, zone, step.now) > 0) return
+  const stranded: Request[] = []
+  for (const { queue } of context.queues.waiting(service)) {
+    for (const id of queue.remove(() => true)) {
+      const request = context.world.requests.get(id)
+      if (request !== undefined) stranded.push(request)
+    }
+  }
+  for (const request of stranded) {
+    const progress = context.progress.get(request.id)
+    if (progress !== undefined) place(context, request, progress, step)
+  }
+}
+
+/** Serves all queues; called on each tick, because limits grow and upstreams come and go between events. */
+export function serveAll (context: RoutingContext, step: Step): void {
+  for (const service of context.queues.services()) {
+    if (context.queues.waiting(service).length === 0) continue
+    replaceStranded(context, service, step)
+    serveService(context, service, step)
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/routing-context.ts
@@ -0,0 +1,80 @@
+/**
+ * The state that the units of the routing system share.
+ */
+import type { Command } from '../command.js'
+import type { Request, World } from '../tables.js'
+import type { AttemptTable } from './attempt-table.js'
+import type { ConfigurationIndex } from './configuration-index.js'
+import type { DecisionLog } from './decision-log.js'
+import type { Progress } from './progress.js'
+import type { RequestQueues } from './request-queues.js'
+import type { RoundTrips } from './round-trips.js'
+import type { RoutingParts } from './routing-parts.js'
+import type { TimerHeap } from './timer-heap.js'
+import { createAttemptTable } from './attempt-table.js'
+import { createConfigurationIndex } from './configuration-index.js'
+import { createDecisionLog } from './decision-log.js'
+import { createRequestQueues } from './request-queues.js'
+import { createRoundTrips } from './round-trips.js'
+import { createTimerHeap } from './timer-heap.js'
+
+/** Shared state of one routing system. */
+export interface RoutingContext {
+  readonly world: World
+  readonly parts: RoutingParts
+  readonly attempts: AttemptTable
+  /** By request id; has the same keys as `world.requests`. */
+  readonly progress: Map<string, Progress>
+  readonly queues: RequestQueues
+  readonly deadlines: TimerHeap
+  /** Times at which a request may be hedged. */
+  readonly hedgeTimers: TimerHeap
+  readonly decisions: DecisionLog
+  readonly trips: RoundTrips
+  /** Index of the current configuration. */
+  readonly index: () => ConfigurationIndex | undefined
+}
+
+/** One event's processing: the time read for it and the commands that it causes. */
+export interface Step {
+  readonly now: number
+  readonly commands: Command[]
+}
+
+/** Creates the shared state. */
+export function createRoutingContext (world: World, parts: RoutingParts): RoutingContext {
+  let indexed = world.configuration
+  let index = indexed === undefined ? undefined : createConfigurationIndex(indexed)
+  return {
+    world,
+    parts,
+    attempts: createAttemptTable(world, parts),
+    progress: new Map(),
+    queues: createRequestQueues(parts.createQueue),
+    deadlines: createTimerHeap(),
+    hedgeTimers: createTimerHeap(),
+    decisions: createDecisionLog(),
+    trips: createRoundTrips(),
+    index () {
+      if (world.configuration !== indexed) {
+        indexed = world.configuration
+        index = indexed === undefined ? undefined : createConfigurationIndex(indexed)
+      }
+      return index
+    }
+  }
+}
+
+/** Replaces the state of a request's row. */
+export function setState (context: RoutingContext, request: Request, state: Request['state']): Request {
+  if (request.state === state) return request
+  const changed = { ...request, state }
+  context.world.requests.set(request.id, changed)
+  return changed
+}
+
+/** Whether two zones are in the same region; `false` when either is not configured. */
+export function sameRegion (index: ConfigurationIndex | undefined, a: string, b: string): boolean {
+  const region = index?.regions.get(a)
+  return a === b || (region !== undefined && region === index?.regions.get(b))
+}
--- /dev/null
+++ b/packages/core/src/routing/routing-parts.ts
@@ -0,0 +1,29 @@
+/**
+ * The parts that the routing system calls. Tests replace them by simple implementations.
+ */
+import type { KeyStore } from '../idempotency/key-store.js'
+import type { FairQueue } from '../limits/fair-queue.js'
+import type { HedgePolicy } from '../limits/hedge-policy.js'
+import type { LinkBudget } from '../limits/link-budget.js'
+import type { RetryBudget } from '../limits/retry-budget.js'
+import type { ShiftMeter } from '../limits/shift-meter.js'
+import type { SlotLimits } from '../limits/slot-limits.js'
+import type { UpstreamSelector } from '../limits/upstream-selector.js'
+
+/** Where a request comes from. */
+export interface Origin { readonly zone: string, readonly tenant: string }
+
+/** Everything that routing decides with, apart from the tables. */
+export interface RoutingParts {
+  readonly slots: SlotLimits
+  readonly upstreams: UpstreamSelector
+  readonly shifts: ShiftMeter
+  readonly links: LinkBudget
+  readonly retries: RetryBudget
+  readonly hedges: HedgePolicy
+  readonly keys: KeyStore
+  /** Creates the queue of one service and length class; items are request ids. */
+  readonly createQueue: () => FairQueue<string>
+  /** Origin of a client address; the own zone when the address is unknown. */
+  readonly origin: (client: string | undefined) => Origin
+}
--- /dev/null
+++ b/packages/core/src/routing/zone-selector.ts
@@ -0,0 +1,77 @@
+/**
+ * Selects among the own zone's queue and the entry instances of other zones, by expected wait.
+ */
+import type { LengthClass } from '../configuration.js'
+import type { Reason } from '../reason.js'
+import type { Instance, Request } from '../tables.js'
+import type { ConfigurationIndex } from './configuration-index.js'
+import type { Progress } from './progress.js'
+import type { RoutingContext } from './routing-context.js'
+import { sameRegion } from './routing-context.js'
+
+/** The best instance of another zone, or why there is none. */
+export interface ZoneChoice {
+  readonly instance: Instance | undefined
+  /** Expected wait including the round trip, in milliseconds; `Infinity` without an instance. */
+  readonly waitMs: number
+  /** What kept a zone with capacity from being selected. */
+  readonly blocked: Reason | undefined
+}
+
+/** Share of the slots that a length class may use. */
+function slotShare (index: ConfigurationIndex | undefined, service: string, length: LengthClass): number {
+  return length === 'short' ? 1 : index?.rules.get(service)?.longShare ?? 1
+}
+
+/** Expected wait of one more request behind those that already wait in the own zone, in milliseconds. */
+export function ownWaitMs (context: RoutingContext, service: string, length: LengthClass, now: number): number {
+  const total = context.parts.slots.total(service, context.world.self.zone, now)
+  if (total === 0) return Infinity
+  const slots = Math.max(1, Math.floor(total * slotShare(context.index(), service, length)))
+  const ahead = context.queues.size(service, length) + 1
+  return ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
+}
+
+/** Wait at a peer by its last heartbeat, counting what was forwarded to it and has not ended. */
+function peerWaitMs (context: RoutingContext, instance: Instance, request: Request): number {
+  const headroom = instance.headroom.get(request.service)
+  if (headroom === undefined || headroom.slots === 0) return Infinity
+  const free = headroom.free - context.attempts.outstanding(instance.id)
+  if (free > 0) return 0
+  const ahead = headroom.queued + 1 - free
+  return ahead * context.parts.upstreams.expectedServiceMs(request.service, request.length) / headroom.slots
+}
+
+function linkWaitMs (
+  context: RoutingContext, index: ConfigurationIndex, instance: Instance, request: Request, now: number
+): number {
+  const from = index.regions.get(context.world.self.zone)
+  const to = index.regions.get(instance.zone)
+  if (from === undefined || to === undefined || from === to) return 0
+  return context.parts.links.waitMs(from, to, request.contentLength, request.length, now)
+}
+
+/** Selects the instance of another zone with the least expected wait that ends before the deadline. */
+export function selectPeer (context: RoutingContext, request: Request, progress: Progress, now: number): ZoneChoice {
+  const index = context.index()
+  let choice: ZoneChoice = { instance: undefined, waitMs: Infinity, blocked: undefined }
+  if (index === undefined) return choice
+  const { self, instances } = context.world
+  const leftMs = request.deadlineAt - now
+  for (const instance of instances.values()) {
+    if (instance.state !== 'live' || instance.zone === self.zone || progress.tried.has(instance.id)) continue
+    if (!index.accepts(request.service, instance.zone)) continue
+    const near = sameRegion(index, self.zone, instance.zone)
+    const waitMs = context.trips.estimateMs(instance.zone, near) + peerWaitMs(context, instance, request)
+    if (waitMs >= leftMs || waitMs >= choice.waitMs) continue
+    const moves = instance.zone !== request.originZone
+    if (moves && !context.parts.shifts.mayMove(request.service, request.originZone, instance.zone, now)) {
+      choice = { ...choice, blocked: 'shift-cap' }
+      continue
+    }
+    const withLinkMs = waitMs + linkWaitMs(context, index, instance, request, now)
+    if (withLinkMs >= leftMs) choice = { ...choice, blocked: choice.blocked ?? 'link-budget' }
+    else if (withLinkMs < choice.waitMs) choice = { ...choice, instance, waitMs: withLinkMs }
+  }
+  return choice
+}
--- /dev/null
+++ b/packages/core/tests/routing/routing-system.test.ts
@@ -0,0 +1,107 @@
+import { describe, expect, it } from 'vitest'
+import type { Command } from '../../src/command.js'
+import type { Event, RequestArrived } from '../../src/event.js'
+import type { RoutingParts } from '../../src/routing/routing-parts.js'
+import type { World } from '../../src/tables.js'
+import { runSystems } from '../../src/engine.js'
+import { createRouting } from '../../src/routing/routing-system.js'
+import { createSimpleParts, createTestWorld } from './simple-parts.js'
+
+function setUp (upstreams: number, overrides: Partial<RoutingParts> = {}, world: World = createTestWorld(upstreams)) {
+  const routing = createRouting(world, createSimpleParts(world, overrides))
+  const handle = (event: Event, now = 0): readonly Command[] => runSystems([routing.system], event, now)
+  const arrive = (requestId: string, path: string, fields: Partial<RequestArrived> = {}, now = 0): readonly Command[] =>
+    handle({ type: 'request-arrived', requestId, service: 's', method: 'GET', path, ...fields }, now)
+  return { world, routing, handle, arrive }
+}
+
+const types = (commands: readonly Command[]): string[] => commands.map(command => command.type)
+const forwarded = { instanceId: 'p2', originZone: 'z2', tenant: 't', keyHome: false }
+
+describe('routing', () => {
+  it('dispatches, relays and records the decision, guarding against a lost or unexplained answer', () => {
+    const { world, routing, handle, arrive } = setUp(1)
+    expect(arrive('q1', '/plain')).toMatchObject([{ type: 'dispatch', attemptId: 'a1', upstreamId: 'u1', timeoutMs: 1_000 }])
+    handle({ type: 'attempt-written', attemptId: 'a1' }, 1)
+    expect(handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 5)).toEqual(
+      [{ type: 'relay', requestId: 'q1', attemptId: 'a1', reason: 'home-zone' }])
+    expect(handle({ type: 'attempt-finished', attemptId: 'a1' }, 6)).toEqual([])
+    expect(routing.explain('q1')).toMatchObject({
+      outcome: 'served', reason: 'home-zone', attempts: [{ target: 'u1', zone: 'z1', end: 'finished' }]
+    })
+    expect(world.requests.size + world.attempts.size).toBe(0)
+  })
+
+  it('forwards when the own zone has no upstream, guarding against refusals while a sibling has headroom', () => {
+    const { arrive } = setUp(0)
+    expect(arrive('q1', '/plain')).toMatchObject([{ type: 'forward', instanceId: 'p2', address: 'p2:2', originZone: 'z1' }])
+  })
+
+  it('refuses a forwarded request that does not fit at once, guarding against forwarding loops', () => {
+    const { arrive } = setUp(0)
+    expect(arrive('q1', '/plain', { forwarded })).toMatchObject(
+      [{ type: 'respond', outcome: 'not-run', reason: 'no-capacity', status: 503 }])
+  })
+
+  it('never dispatches a queued request after a pause longer than its deadline', () => {
+    const { world, handle, arrive } = setUp(1)
+    world.instances.clear()
+    arrive('q1', '/plain', { timeoutMs: 60_000 })
+    arrive('q2', '/plain', { timeoutMs: 60_000 })
+    expect(arrive('q3', '/plain')).toEqual([])
+    handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 5)
+    expect(handle({ type: 'attempt-finished', attemptId: 'a1' }, 5_000)).toMatchObject(
+      [{ type: 'respond', requestId: 'q3', outcome: 'not-run', reason: 'deadline-passed', status: 504 }])
+  })
+
+  it('answers unknown after the deadline of a written attempt, guarding against a false not-run', () => {
+    const { handle, arrive } = setUp(1)
+    arrive('q1', '/plain')
+    handle({ type: 'attempt-written', attemptId: 'a1' }, 1)
+    expect(handle({ type: 'tick' }, 1_000)).toMatchObject([
+      { type: 'cancel-attempt', attemptId: 'a1' },
+      { type: 'respond', outcome: 'unknown', reason: 'deadline-passed', status: 504 }
+    ])
+  })
+
+  it('resets the caller when the answer breaks off, guarding against a truncated answer that looks whole', () => {
+    const { handle, arrive } = setUp(2)
+    arrive('q1', '/repeatable')
+    handle({ type: 'attempt-written', attemptId: 'a1' }, 1)
+    handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 5)
+    expect(handle({ type: 'attempt-failed', attemptId: 'a1', truncated: true }, 6)).toEqual(
+      [{ type: 'reset', requestId: 'q1', reason: 'upstream-truncated' }])
+  })
+
+  it('takes a key over any refusal, guarding against not-run for a key that ran before a configuration change', () => {
+    const { world, handle, arrive } = setUp(1)
+    arrive('q1', '/protected', { key: 'i1/k' })
+    handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 5)
+    handle({ type: 'attempt-finished', attemptId: 'a1' }, 6)
+    world.configuration = { ...world.configuration!, version: 2, services: [] }
+    expect(arrive('q2', '/protected', { key: 'i1/k' }, 7)).toMatchObject([{ type: 'replay', requestId: 'q2' }])
+  })
+
+  it('finishes a protected request whose caller has gone, guarding against a key without an outcome', () => {
+    const { handle, arrive } = setUp(1)
+    arrive('q1', '/protected', { key: 'i1/k' })
+    handle({ type: 'attempt-written', attemptId: 'a1' }, 1)
+    expect(handle({ type: 'request-cancelled', requestId: 'q1' }, 2)).toEqual([])
+    expect(arrive('q2', '/protected', { key: 'i1/k' }, 3)).toEqual([])
+    expect(types(handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 5))).toEqual(['relay'])
+    expect(handle({ type: 'attempt-finished', attemptId: 'a1' }, 6)).toMatchObject([{ type: 'replay', requestId: 'q2' }])
+  })
+
+  it('answers unknown when the home of a key is unreachable, guarding against a second run with a new key', () => {
+    const { handle, arrive } = setUp(1)
+    expect(arrive('q1', '/protected', { key: 'p2/k' })).toMatchObject([{ type: 'forward', instanceId: 'p2', keyHome: true }])
+    expect(handle({ type: 'attempt-refused', attemptId: 'a1', proof: 'not-written' }, 1)).toMatchObject(
+      [{ type: 'respond', outcome: 'unknown', reason: 'key-home-unreachable', status: 502 }])
+    expect(arrive('q2', '/protected', { key: 'p9/k' }, 2)).toMatchObject([{ type: 'respond', outcome: 'unknown' }])
+  })
+
+  it('runs a key of the peer that sent it here, guarding against a loop between home and receiver', () => {
+    const { arrive } = setUp(1)
+    expect(types(arrive('q1', '/protected', { key: 'p2/k', forwarded }))).toEqual(['dispatch'])
+  })
+})
