Test the life of a request with random event sequences

Ruled out: checking the engine's own tables; the model follows the commands and events alone. Change: a fast-check property over arrivals, attempts, cancels, pauses and leaving upstreams.

--- /dev/null
+++ b/packages/core/tests/routing/request-life.test.ts
@@ -0,0 +1,193 @@
+/**
+ * Drives random sequences of events and checks what holds for each request, whatever happens to its attempts.
+ */
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { Command } from '../../src/command.js'
+import type { Event, RequestArrived } from '../../src/event.js'
+import { runSystems } from '../../src/engine.js'
+import { createRouting } from '../../src/routing/routing-system.js'
+import { createSimpleParts, createTestWorld, SLOTS } from './simple-parts.js'
+
+type AttemptState = 'created' | 'written' | 'answered' | 'finished' | 'refused' | 'failed' | 'cancelled'
+
+interface ModelAttempt { readonly id: string, readonly requestId: string, readonly upstreamId?: string, state: AttemptState, written: boolean }
+
+interface ModelRequest {
+  readonly event: RequestArrived
+  readonly deadlineAt: number
+  answers: number
+  relayed: boolean
+  cancelled: boolean
+}
+
+/** States that an attempt can reach, with the event that reports each. */
+const STEPS: { readonly [S in AttemptState]?: ReadonlyArray<readonly [AttemptState, (attemptId: string) => Event]> } = {
+  created: [
+    ['written', attemptId => ({ type: 'attempt-written', attemptId })],
+    ['written', attemptId => ({ type: 'attempt-written', attemptId })],
+    ['refused', attemptId => ({ type: 'attempt-refused', attemptId, proof: 'not-written' })]
+  ],
+  written: [
+    ['answered', attemptId => ({ type: 'attempt-answered', attemptId, status: 200 })],
+    ['refused', attemptId => ({ type: 'attempt-refused', attemptId, proof: 'shed' })],
+    ['failed', attemptId => ({ type: 'attempt-failed', attemptId, truncated: false })]
+  ],
+  answered: [
+    ['finished', attemptId => ({ type: 'attempt-finished', attemptId })],
+    ['failed', attemptId => ({ type: 'attempt-failed', attemptId, truncated: true })]
+  ],
+  // Events that were under way when the attempt was cancelled.
+  cancelled: [['cancelled', attemptId => ({ type: 'attempt-answered', attemptId, status: 200 })]]
+}
+
+class Model {
+  now = 0
+  readonly world = createTestWorld(2)
+  readonly requests = new Map<string, ModelRequest>()
+  readonly attempts: ModelAttempt[] = []
+  private readonly routing = createRouting(this.world, createSimpleParts(this.world, {
+    hedges: { recordLatency: () => {}, delayMs: () => 5, take: () => true }
+  }))
+
+  handle (event: Event): void {
+    for (const command of runSystems([this.routing.system], event, this.now)) this.apply(command)
+  }
+
+  arrive (fields: Pick<RequestArrived, 'path' | 'key' | 'forwarded' | 'timeoutMs'>): void {
+    const requestId = `q${this.requests.size + 1}`
+    const event: RequestArrived = { type: 'request-arrived', requestId, service: 's', method: 'GET', ...fields }
+    const deadlineAt = this.now + (fields.timeoutMs ?? 1_000)
+    this.requests.set(requestId, { event, deadlineAt, answers: 0, relayed: false, cancelled: false })
+    this.handle(event)
+  }
+
+  cancel (index: number): void {
+    const request = [...this.requests.values()][index % Math.max(1, this.requests.size)]
+    if (request === undefined) return
+    request.cancelled = true
+    this.handle({ type: 'request-cancelled', requestId: request.event.requestId })
+  }
+
+  advance (index: number, choice: number): void {
+    const open = this.attempts.filter(attempt => STEPS[attempt.state] !== undefined)
+    const attempt = open[index % Math.max(1, open.length)]
+    const steps = attempt === undefined ? undefined : STEPS[attempt.state]
+    if (attempt === undefined || steps === undefined) return
+    const [state, event] = steps[choice % steps.length]!
+    attempt.state = state
+    attempt.written ||= state === 'written'
+    this.handle(event(attempt.id))
+  }
+
+  finish (): void {
+    this.now += 10_000
+    this.handle({ type: 'tick' })
+    for (const attempt of this.attempts) {
+      if (attempt.state !== 'answered') continue
+      attempt.state = 'finished'
+      this.handle({ type: 'attempt-finished', attemptId: attempt.id })
+    }
+  }
+
+  private apply (command: Command): void {
+    switch (command.type) {
+      case 'dispatch': return this.start(command.requestId, { ...command, id: command.attemptId })
+      case 'forward':
+        expect(this.requests.get(command.requestId)!.event.forwarded, 'a forwarded request is not forwarded').toBe(undefined)
+        return this.start(command.requestId, { id: command.attemptId, requestId: command.requestId })
+      case 'cancel-attempt':
+        this.attempts.find(attempt => attempt.id === command.attemptId)!.state = 'cancelled'
+        return
+      case 'relay': {
+        const request = this.requests.get(command.requestId)!
+        request.answers += 1
+        request.relayed = true
+        return
+      }
+      case 'reset':
+        expect(this.requests.get(command.requestId)!.relayed, 'only a relayed answer is reset').toBe(true)
+        return
+      case 'replay':
+        this.requests.get(command.requestId)!.answers += 1
+        return
+      case 'respond':
+        this.requests.get(command.requestId)!.answers += 1
+        if (command.outcome === 'not-run') this.checkNotRun(command.requestId)
+    }
+  }
+
+  /** Attempts of the request, or of another request with a key of this instance, that an upstream may have run. */
+  private possiblyRun (requestId: string): readonly ModelAttempt[] {
+    const keyOf = (id: string): string | undefined => this.requests.get(id)!.event.key
+    const key = keyOf(requestId)
+    return this.attempts.filter(attempt => attempt.written && attempt.state !== 'refused' &&
+      (attempt.requestId === requestId || (key?.startsWith('i1/') === true && key === keyOf(attempt.requestId))))
+  }
+
+  private start (requestId: string, attempt: { id: string, requestId: string, upstreamId?: string }): void {
+    const request = this.requests.get(requestId)!
+    expect(this.now, 'no attempt starts after the deadline').toBeLessThan(request.deadlineAt)
+    expect(request.answers, 'no attempt starts after the answer').toBe(0)
+    if (!request.event.path.startsWith('/repeatable')) expect(this.possiblyRun(requestId)).toEqual([])
+    const { upstreamId } = attempt
+    this.attempts.push({ id: attempt.id, requestId, state: 'created', written: false, ...(upstreamId === undefined ? {} : { upstreamId }) })
+    if (upstreamId === undefined) return
+    expect(this.world.upstreams.get(upstreamId)!.state, 'a leaving upstream gets no work').toBe('live')
+    const open = this.attempts.filter(row => row.upstreamId === upstreamId && ['created', 'written', 'answered'].includes(row.state))
+    expect(open.length, 'slots are not exceeded').toBeLessThanOrEqual(SLOTS)
+  }
+
+  private checkNotRun (requestId: string): void {
+    expect(this.possiblyRun(requestId), 'not-run is honest').toEqual([])
+  }
+}
+
+const paths = ['/repeatable', '/plain', '/protected', '/long']
+const forwarded = { instanceId: 'p2', originZone: 'z2', tenant: 't', keyHome: false }
+
+const action: fc.Arbitrary<(model: Model) => void> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({ path: fc.constantFrom(...paths), key: fc.constantFrom('i1/a', 'i1/b', 'p2/c'), peer: fc.boolean(), timeoutMs: fc.constantFrom(0, 20, 1_000) })
+      .map(({ path, key, peer, timeoutMs }) => (model: Model) => model.arrive({
+        path, timeoutMs, ...(path === '/protected' ? { key } : {}), ...(peer && path !== '/protected' ? { forwarded } : {})
+      }))
+  },
+  { weight: 8, arbitrary: fc.tuple(fc.nat(20), fc.nat(5)).map(([index, choice]) => (model: Model) => model.advance(index, choice)) },
+  { weight: 1, arbitrary: fc.nat(20).map(index => (model: Model) => model.cancel(index)) },
+  {
+    weight: 2,
+    arbitrary: fc.constantFrom(1, 6, 30, 2_000).map(ms => (model: Model) => {
+      model.now += ms
+      model.handle({ type: 'tick' })
+    })
+  },
+  {
+    weight: 1,
+    arbitrary: fc.constantFrom('live', 'leaving').map(state => (model: Model) => {
+      model.world.upstreams.set('u1', { ...model.world.upstreams.get('u1')!, state: state as 'live' | 'leaving' })
+    })
+  },
+  {
+    weight: 1,
+    arbitrary: fc.constantFrom(1, 6, 30, 2_000).map(ms => (model: Model) => {
+      model.now += ms
+    })
+  }
+)
+
+describe('the life of a request', () => {
+  it('gives each request one honest answer and each upstream no more than its slots', () => {
+    fc.assert(fc.property(fc.array(action, { maxLength: 80 }), actions => {
+      const model = new Model()
+      for (const act of actions) act(model)
+      model.finish()
+      for (const request of model.requests.values()) {
+        if (request.cancelled) expect(request.answers).toBeLessThanOrEqual(1)
+        else expect(request.answers, request.event.requestId).toBe(1)
+      }
+      expect([model.world.requests.size, model.world.attempts.size], 'no row is left').toEqual([0, 0])
+    }))
+  })
+})
