Measure the cost of state by size and index live instances for look-ups

Cause: a look-up ranked all instances on every call; with 3,700 instances and 860,000 client blocks it took 3.4 ms (base -333 us, 1.0 us for each instance), or about 300 look-ups a second. The block table was ruled out: it answers 436,000 searches a second. Change: live instances are indexed by zone, and the index is rebuilt at most every 200 ms.

--- /dev/null
+++ b/packages/bench/src/slopes/slopes.ts
@@ -0,0 +1,214 @@
+/**
+ * Costs of an entry instance's state against its size: client blocks, sites, peers and changes.
+ */
+import type { Change, Configuration, Heartbeat, ListedInstance } from '@arbutustray/core'
+import type { Point, Slope } from './measure.js'
+import { create, toBinary } from '@bufbuild/protobuf'
+import {
+  applyChanges, createBlockTableBuilder, createConfigurationSystem, createMembershipSystem, createLookup, createWorld
+} from '@arbutustray/core'
+import { HeartbeatSchema } from '@arbutustray/protocol'
+import { createRandom } from '../policy/random.js'
+import { fitSlope, microsecondsPerCall, retainedBytes } from './measure.js'
+import { DESIGN_SIZE, createSampleBlock, createSampleConfiguration, createSampleList } from './sample-data.js'
+
+const SEED = 20261204
+const MS_PER_SECOND = 1_000
+const TICKS_PER_SECOND = 100
+/** Heartbeats that an instance receives each second: as many as it sends. */
+const HEARTBEATS_PER_SECOND = 6
+const FRACTIONS = [0.1, 0.5, 1]
+
+export interface BlockCosts {
+  readonly bytesPerClientBlock: number
+  readonly tableBytes: number
+  readonly buildMs: number
+  /** Searches of the table a second on one core. */
+  readonly findsPerSecond: number
+}
+
+export interface SiteCosts {
+  /** Serialized configuration, in bytes. */
+  readonly wireBytes: Slope
+  readonly heapBytes: Slope
+  /** Processor time to adopt one change, in microseconds. */
+  readonly applyMicroseconds: Slope
+  /** Size of one change, in bytes. */
+  readonly changeBytes: number
+}
+
+export interface PeerCosts {
+  readonly heapBytes: Slope
+  /** Processor time of ticks and heartbeats each second, in microseconds. */
+  readonly membershipMicrosecondsPerSecond: Slope
+  /** Processor time to read the platform's list once, in microseconds. */
+  readonly listMicroseconds: Slope
+  readonly listBytes: Slope
+  /** Processor time of one look-up with all client blocks loaded, in microseconds. */
+  readonly lookupMicroseconds: Slope
+  readonly heartbeatBytes: number
+}
+
+const SELF = { id: 'entry-0', zone: 'zone-0', address: '10.0.0.1:8080', peerAddress: '10.0.0.1:8081', incarnation: 'a1b2c3d4' }
+
+/** Builds the table of all client blocks and searches it. */
+export function measureBlocks (): { readonly costs: BlockCosts, readonly table: ReturnType<ReturnType<typeof createBlockTableBuilder>['build']> } {
+  const random = createRandom(SEED)
+  const startedAt = performance.now()
+  const { value: table, bytes } = retainedBytes(() => {
+    const builder = createBlockTableBuilder()
+    for (let index = 0; index < DESIGN_SIZE.clientBlocks; index += 1) {
+      builder.add(createSampleBlock(random), { zone: `zone-${index % DESIGN_SIZE.zones}`, tenant: `tenant-${index % 40}` })
+    }
+    return builder.build()
+  })
+  const buildMs = performance.now() - startedAt
+  const clients = Array.from({ length: 4_096 }, () => createSampleBlock(random).replace('.0/24', '.7'))
+  const find = microsecondsPerCall(index => { table.find(clients[index % clients.length]!) })
+  return {
+    costs: {
+      bytesPerClientBlock: bytes / DESIGN_SIZE.clientBlocks,
+      tableBytes: table.bytes,
+      buildMs,
+      findsPerSecond: 1e6 / find
+    },
+    table
+  }
+}
+
+function createChange (version: number): Change {
+  return {
+    version,
+    changeId: `change-${version.toString().padStart(12, '0')}`,
+    actor: 'operator@example.org',
+    reason: 'planned maintenance of one upstream',
+    at: 1_800_000_000_000,
+    operations: [{ table: 'drains', put: { kind: 'upstream', target: `upstream-${version}` } }]
+  }
+}
+
+function measureApply (configuration: Configuration): number {
+  let current = configuration
+  return microsecondsPerCall(() => {
+    const next = applyChanges({ ...current, drains: [] }, [createChange(current.version + 1)])
+    current = next._unsafeUnwrap()
+  })
+}
+
+/** Costs against the number of sites. */
+export function measureSites (): SiteCosts {
+  const sizes = FRACTIONS.map(fraction => Math.round(fraction * DESIGN_SIZE.sites))
+  const measured = sizes.map(units => {
+    const { value, bytes } = retainedBytes(() => createSampleConfiguration(units))
+    return { units, wire: JSON.stringify(value).length, bytes, apply: measureApply(value) }
+  })
+  const slope = (read: (row: typeof measured[number]) => number): Slope =>
+    fitSlope(measured.map((row): Point => ({ units: row.units, cost: read(row) })))
+  return {
+    wireBytes: slope(row => row.wire),
+    heapBytes: slope(row => row.bytes),
+    applyMicroseconds: slope(row => row.apply),
+    changeBytes: JSON.stringify(createChange(1)).length
+  }
+}
+
+function createHeartbeat (entry: ListedInstance, sightings: readonly ListedInstance[]): Heartbeat {
+  return {
+    instanceId: entry.id,
+    incarnation: 'a1b2c3d4',
+    zone: entry.zone,
+    address: entry.address,
+    peerAddress: entry.peerAddress!,
+    state: 'live',
+    configurationVersion: 1,
+    headroom: [{ service: 'service-0', free: 20, slots: 54, queued: 0 }, { service: 'service-1', free: 9, slots: 18, queued: 0 }],
+    sightings: sightings.map(row => ({
+      instanceId: row.id,
+      incarnation: 'a1b2c3d4',
+      zone: row.zone,
+      address: row.address,
+      peerAddress: row.peerAddress!,
+      state: 'live',
+      ageMs: 500
+    })),
+    leavingUpstreams: []
+  }
+}
+
+function heartbeatBytes (): number {
+  const [entry, ...others] = createSampleList(9)
+  const { state, ...heartbeat } = createHeartbeat(entry!, others)
+  const sightings = heartbeat.sightings.map(({ state: sighted, ...row }) => ({ ...row, leaving: sighted === 'leaving' }))
+  return toBinary(HeartbeatSchema, create(HeartbeatSchema, {
+    ...heartbeat,
+    headroom: [...heartbeat.headroom],
+    sightings,
+    leaving: state === 'leaving',
+    leavingUpstreams: [...heartbeat.leavingUpstreams]
+  })).byteLength
+}
+
+interface PeerRow {
+  readonly units: number
+  readonly bytes: number
+  readonly list: number
+  readonly listBytes: number
+  readonly membership: number
+  readonly lookup: number
+}
+
+function measurePeerRow (units: number, configuration: Configuration, table: ReturnType<typeof measureBlocks>['table']): PeerRow {
+  const entries = createSampleList(units)
+  const { value, bytes } = retainedBytes(() => {
+    const world = createWorld(SELF)
+    const membership = createMembershipSystem(world)
+    world.configuration = configuration
+    membership.handlers['list-received']?.({ type: 'list-received', entries }, 0)
+    return { world, membership }
+  })
+  const { world, membership } = value
+  const configurations = createConfigurationSystem(world)
+  let now = 0
+  const list = microsecondsPerCall(() => {
+    membership.handlers['list-received']?.({ type: 'list-received', entries }, now)
+  })
+  const hear = (index: number): void => {
+    const entry = entries[1 + index % (units - 1)]!
+    const sightings = Array.from({ length: 8 }, (_, offset) => entries[1 + (index + offset) % (units - 1)]!)
+    const event = { type: 'heartbeat-received', heartbeat: createHeartbeat(entry, sightings) } as const
+    membership.handlers['heartbeat-received']?.(event, now)
+    configurations.handlers['heartbeat-received']?.(event, now)
+  }
+  for (let index = 0; index < units; index += 1) hear(index)
+  const second = microsecondsPerCall(index => {
+    for (let heard = 0; heard < HEARTBEATS_PER_SECOND; heard += 1) hear(index * HEARTBEATS_PER_SECOND + heard)
+    for (let tick = 0; tick < TICKS_PER_SECOND; tick += 1) {
+      now += MS_PER_SECOND / TICKS_PER_SECOND
+      membership.handlers.tick?.({ type: 'tick' }, now)
+    }
+  })
+  world.clientBlocks = table
+  for (let index = 0; index < units; index += 1) hear(index)
+  const random = createRandom(SEED)
+  const clients = Array.from({ length: 4_096 }, () => createSampleBlock(random).replace('.0/24', '.7'))
+  const lookup = createLookup(world)
+  const lookups = microsecondsPerCall(index => {
+    lookup({ service: 'service-0', client: clients[index % clients.length]! }, performance.now())
+  })
+  return { units, bytes, list, listBytes: JSON.stringify(entries).length, membership: second, lookup: lookups }
+}
+
+/** Costs against the number of entry instances. */
+export function measurePeers (table: ReturnType<typeof measureBlocks>['table']): PeerCosts {
+  const configuration = createSampleConfiguration(DESIGN_SIZE.sites)
+  const rows = FRACTIONS.map(fraction => measurePeerRow(Math.round(fraction * DESIGN_SIZE.instances), configuration, table))
+  const slope = (read: (row: PeerRow) => number): Slope => fitSlope(rows.map(row => ({ units: row.units, cost: read(row) })))
+  return {
+    heapBytes: slope(row => row.bytes),
+    membershipMicrosecondsPerSecond: slope(row => row.membership),
+    listMicroseconds: slope(row => row.list),
+    listBytes: slope(row => row.listBytes),
+    lookupMicroseconds: slope(row => row.lookup),
+    heartbeatBytes: heartbeatBytes()
+  }
+}
--- a/packages/core/src/lookup/lookup.ts
+++ b/packages/core/src/lookup/lookup.ts
@@ -1,8 +1,9 @@
 /**
- * Ranked entry instances for a client. Answers are made from this instance's own tables and never wait.
+ * Ranked entry instances for a client. Answers are made from this instance's own tables and never wait. The live
+ * instances are indexed by zone, because at thousands of instances a scan for each look-up takes milliseconds.
  */
 import type { Result } from 'neverthrow'
-import type { Configuration } from '../configuration.js'
+import type { Configuration, Drain } from '../configuration.js'
 import type { LookupAnswer, QueryError } from '../create-engine.js'
 import type { World } from '../tables.js'
 import { err, ok } from 'neverthrow'
@@ -14,49 +15,111 @@
 export const LOOKUP_TTL_MS = 5_000
 /** More instances would not be tried within a client's deadline. */
 export const MAX_LOOKUP_INSTANCES = 8
+/** An answer may miss changes of this age, which is short against the time for which clients keep it. */
+export const INDEX_LIFETIME_MS = 200
 
 type Entry = LookupAnswer['instances'][number]
 
-/** Same zone as the client, same region, elsewhere. */
-type Tiers = readonly [Entry[], Entry[], Entry[]]
-
-/** Errors: `no-configuration`, `unknown-service`. */
-export function lookup (
-  world: World, query: { readonly service: string, readonly client?: string }
-): Result<LookupAnswer, QueryError> {
-  const { configuration } = world
-  if (configuration === undefined) return err({ reason: 'no-configuration' })
-  if (!configuration.services.some(service => service.id === query.service)) return err({ reason: 'unknown-service' })
-  const tiers = rank(world, configuration, query.service, clientOrigin(world, query.client).zone)
-  const instances: Entry[] = []
-  for (const tier of tiers) {
-    if (tier.length === 0 || instances.length === MAX_LOOKUP_INSTANCES) continue
-    // Tables differ in their order between instances, answers for a client should not.
-    tier.sort((a, b) => (a.id < b.id ? -1 : 1))
-    const offset = hash32(query.client ?? '') % tier.length
-    for (let index = 0; index < tier.length && instances.length < MAX_LOOKUP_INSTANCES; index += 1) {
-      const { id, zone, address } = tier[(index + offset) % tier.length] as Entry
-      instances.push({ id, zone, address })
-    }
+/** What a client asks for. */
+export interface LookupQuery {
+  readonly service: string
+  /** Client address. */
+  readonly client?: string
+}
+
+/** Answers a look-up. Errors: `no-configuration`, `unknown-service`. */
+export type Lookup = (query: LookupQuery, now: number) => Result<LookupAnswer, QueryError>
+
+/** Live instances by zone, in order of their ids, and the zones by region. */
+interface Index {
+  readonly configuration: Configuration
+  readonly isStopping: boolean
+  readonly builtAt: number
+  readonly byZone: ReadonlyMap<string, readonly Entry[]>
+  readonly zonesByRegion: ReadonlyMap<string, readonly string[]>
+  readonly regionByZone: ReadonlyMap<string, string>
+  readonly zones: readonly string[]
+}
+
+/** Creates the look-up over a world's tables. */
+export function createLookup (world: World): Lookup {
+  let index: Index | undefined
+
+  function currentIndex (configuration: Configuration, now: number): Index {
+    const isStopping = world.stoppingSince !== undefined
+    if (index === undefined || index.configuration !== configuration || index.isStopping !== isStopping ||
+      now - index.builtAt >= INDEX_LIFETIME_MS) index = buildIndex(world, configuration, isStopping, now)
+    return index
+  }
+
+  return (query, now) => {
+    const { configuration } = world
+    if (configuration === undefined) return err({ reason: 'no-configuration' })
+    if (!configuration.services.some(service => service.id === query.service)) return err({ reason: 'unknown-service' })
+    const zone = clientOrigin(world, query.client).zone
+    const instances = rank(currentIndex(configuration, now), query, zone)
+    return ok({ service: query.service, version: configuration.version, ttlMs: LOOKUP_TTL_MS, instances })
+  }
+}
+
+function buildIndex (world: World, configuration: Configuration, isStopping: boolean, now: number): Index {
+  const byZone = new Map<string, Entry[]>()
+  function add ({ id, zone, address }: Entry): void {
+    const entries = byZone.get(zone)
+    if (entries === undefined) byZone.set(zone, [{ id, zone, address }])
+    else entries.push({ id, zone, address })
   }
-  return ok({ service: query.service, version: configuration.version, ttlMs: LOOKUP_TTL_MS, instances })
-}
-
-function rank (world: World, configuration: Configuration, service: string, zone: string): Tiers {
-  const regions = new Map(configuration.zones.map(row => [row.id, row.region]))
-  const region = regions.get(zone)
-  const drained = new Set(configuration.drains.filter(drain => drain.kind === 'instance' &&
-    (drain.service === undefined || drain.service === service)).map(drain => drain.target))
-  const drainedZones = new Set(configuration.zones.map(row => row.id)
-    .filter(id => isZoneDrained(configuration.drains, service, id)))
-  const tiers: Tiers = [[], [], []]
-  function place (entry: Entry): void {
-    if (drained.has(entry.id) || drainedZones.has(entry.zone)) return
-    if (entry.zone === zone) tiers[0].push(entry)
-    else if (region !== undefined && regions.get(entry.zone) === region) tiers[1].push(entry)
-    else tiers[2].push(entry)
+  if (!isStopping) add(world.self)
+  for (const instance of world.instances.values()) if (instance.state === 'live') add(instance)
+  // Tables differ in their order between instances, answers for a client should not.
+  for (const entries of byZone.values()) entries.sort((a, b) => (a.id < b.id ? -1 : 1))
+  const zonesByRegion = new Map<string, string[]>()
+  for (const { id, region } of configuration.zones) zonesByRegion.set(region, [...zonesByRegion.get(region) ?? [], id])
+  return {
+    configuration,
+    isStopping,
+    builtAt: now,
+    byZone,
+    zonesByRegion,
+    regionByZone: new Map(configuration.zones.map(row => [row.id, row.region])),
+    zones: [...byZone.keys()].sort()
   }
-  if (world.stoppingSince === undefined) place(world.self)
-  for (const instance of world.instances.values()) if (instance.state === 'live') place(instance)
-  return tiers
+}
+
+/** Same zone as the client, then the same region, then elsewhere, each begun at a place that the client decides. */
+function rank (index: Index, query: LookupQuery, zone: string): readonly Entry[] {
+  const offset = hash32(query.client ?? '')
+  const region = index.regionByZone.get(zone)
+  const siblings = (region === undefined ? [] : index.zonesByRegion.get(region) ?? []).filter(id => id !== zone)
+  const far = index.zones.filter(id => id !== zone && !siblings.includes(id))
+  const { drains } = index.configuration
+  const chosen: Entry[] = []
+  for (const tier of [[zone], siblings, rotate(far, offset)]) {
+    if (chosen.length === MAX_LOOKUP_INSTANCES) break
+    const entries = collect(index, tier, query.service, drains)
+    for (const entry of rotate(entries, offset).slice(0, MAX_LOOKUP_INSTANCES - chosen.length)) chosen.push(entry)
+  }
+  return chosen
+}
+
+/** Instances of the zones that take new work, from as few zones as fill an answer but from all of a short list. */
+function collect (index: Index, zones: readonly string[], service: string, drains: readonly Drain[]): readonly Entry[] {
+  const entries: Entry[] = []
+  for (const zone of zones) {
+    if (entries.length >= MAX_LOOKUP_INSTANCES) break
+    if (drains.length > 0 && isZoneDrained(drains, service, zone)) continue
+    for (const entry of index.byZone.get(zone) ?? []) if (!isInstanceDrained(drains, service, entry.id)) entries.push(entry)
+  }
+  return entries
+}
+
+function isInstanceDrained (drains: readonly Drain[], service: string, id: string): boolean {
+  return drains.some(drain => drain.kind === 'instance' && drain.target === id &&
+    (drain.service === undefined || drain.service === service))
+}
+
+function rotate<T> (items: readonly T[], offset: number): readonly T[] {
+  if (items.length < 2) return items
+  const start = offset % items.length
+  return [...items.slice(start), ...items.slice(0, start)]
 }
--- a/packages/core/tests/lookup/lookup.test.ts
+++ b/packages/core/tests/lookup/lookup.test.ts
@@ -4,7 +4,7 @@
 import { createWorld, runSystems } from '../../src/engine.js'
 import { createBlockTableBuilder } from '../../src/lookup/block-table.js'
 import { clientOrigin } from '../../src/lookup/client-origin.js'
-import { lookup } from '../../src/lookup/lookup.js'
+import { createLookup } from '../../src/lookup/lookup.js'
 import { createMembershipSystem } from '../../src/membership/membership-system.js'
 import { CONFIGURATION, heartbeatOf, self } from '../fixtures.js'
 
@@ -24,7 +24,7 @@
 
 function ids (world: World, client?: string): readonly string[] {
   const query = client === undefined ? { service: 'tokens' } : { service: 'tokens', client }
-  return lookup(world, query)._unsafeUnwrap().instances.map(instance => instance.id)
+  return createLookup(world)(query, 0)._unsafeUnwrap().instances.map(instance => instance.id)
 }
 
 describe('clientOrigin', () => {
@@ -67,8 +67,8 @@
     const rows = [...world.instances.values()]
     for (let copy = 0; copy < 5; copy += 1) for (const row of rows) world.instances.set(`${row.id}-${copy}`, { ...row, id: `${row.id}-${copy}` })
     expect(ids(world)).toHaveLength(8)
-    expect(lookup(world, { service: 'none' })._unsafeUnwrapErr()).toEqual({ reason: 'unknown-service' })
+    expect(createLookup(world)({ service: 'none' }, 0)._unsafeUnwrapErr()).toEqual({ reason: 'unknown-service' })
     world.configuration = undefined
-    expect(lookup(world, { service: 'tokens' })._unsafeUnwrapErr()).toEqual({ reason: 'no-configuration' })
+    expect(createLookup(world)({ service: 'tokens' }, 0)._unsafeUnwrapErr()).toEqual({ reason: 'no-configuration' })
   })
 })
