Add the peer and operator ports, the platform's watch and main

Cause: an instance could not exchange state, take changes or follow the platform. Change: peer port (heartbeats, configuration pull, forwarded requests), operator port, confirmation over the configuration writer, platform sync with back-off, load reports, planned stop, arbutustray-entry.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -6,7 +6,7 @@
 import { REASONS } from '@arbutustray/core'
 import type { Hop, Telemetry } from '@arbutustray/telemetry'
 import type { Dispatcher } from 'undici'
-import type { Emit } from './event-loop.js'
+import type { Emit } from './event-source.js'
 import type { Exchange } from './exchange.js'
 import { HEADER, answerHeaders, single } from './headers.js'
 
--- a/packages/entry/src/commands.ts
+++ b/packages/entry/src/commands.ts
@@ -38,5 +38,13 @@
     'pull-configuration': targets.pullConfiguration,
     stopped: targets.onStopped
   }
-  return command => (handlers[command.type] as (command: Command) => void)(command)
+  return command => {
+    try {
+      (handlers[command.type] as (command: Command) => void)(command)
+    } catch (error) {
+      // Such as a header value of an upstream that Node refuses to send. Other requests must not be lost with this one.
+      telemetry.log('command-fault', { command: command.type, error: String(error) })
+      if ('requestId' in command) exchanges.get(command.requestId)?.reset('upstream-failed')
+    }
+  }
 }
--- /dev/null
+++ b/packages/entry/src/confirm.ts
@@ -0,0 +1,95 @@
+/**
+ * The second step of a change: recomputes the plan that the operator confirms, and commits the change if nothing
+ * has moved since.
+ */
+import { wallNow } from '@arbutustray/core'
+import type { Configuration, Engine, Operation, Plan } from '@arbutustray/core'
+import type { CommitError, ConfigurationWriter } from '@arbutustray/platform'
+import type { Telemetry } from '@arbutustray/telemetry'
+import type { Emit } from './event-source.js'
+
+/** What the operator confirms. */
+export interface Confirmation {
+  readonly planId: string
+  readonly baseVersion: number
+  readonly operations: readonly Operation[]
+  readonly changeId: string
+  readonly actor: string
+  readonly reason: string
+}
+
+/** HTTP status and body of the answer. */
+export type ConfirmationAnswer =
+  | { readonly status: 200, readonly body: { readonly version: number } }
+  | { readonly status: 202, readonly body: { readonly reason: 'unknown', readonly detail: string } }
+  | { readonly status: 409, readonly body: { readonly plan: Plan } }
+  | { readonly status: 422, readonly body: { readonly blockers: readonly string[] } }
+  | { readonly status: 503, readonly body: { readonly reason: string } }
+
+export interface ConfirmOptions {
+  readonly engine: Engine
+  readonly emit: Emit
+  readonly writer: ConfigurationWriter
+  /** Whether the newest version is known; without it confirmations are refused. */
+  readonly platformReachable: () => boolean
+  readonly telemetry: Telemetry
+}
+
+/** Creates the function that answers confirmations. */
+export function createConfirm (options: ConfirmOptions): (confirmation: Confirmation) => Promise<ConfirmationAnswer> {
+  const { engine, emit, telemetry } = options
+
+  function adopt (configuration: Configuration): void {
+    emit({ type: 'configuration-received', configuration, source: 'platform' })
+  }
+
+  /** An answer that needs no write, or `undefined` if the plan holds. */
+  function check (confirmation: Confirmation): ConfirmationAnswer | undefined {
+    const done = engine.configuration()?.recent.find(change => change.changeId === confirmation.changeId)
+    if (done !== undefined) return { status: 200, body: { version: done.version } }
+    if (!options.platformReachable()) return { status: 503, body: { reason: 'the platform can not be reached' } }
+    return engine.plan(confirmation.operations).match<ConfirmationAnswer | undefined>(
+      plan => {
+        const holds = plan.baseVersion === confirmation.baseVersion && plan.planId === confirmation.planId
+        if (!holds) return { status: 409, body: { plan } }
+        return plan.blockers.length > 0 ? { status: 422, body: { blockers: plan.blockers } } : undefined
+      },
+      error => ({ status: 503, body: { reason: error.reason } })
+    )
+  }
+
+  const FAILURES: { readonly [T in CommitError['type']]: (
+    error: Extract<CommitError, { type: T }>, confirmation: Confirmation
+  ) => ConfirmationAnswer } = {
+    conflict: ({ configuration }, { operations }) => {
+      adopt(configuration)
+      return engine.plan(operations).match<ConfirmationAnswer>(
+        plan => ({ status: 409, body: { plan } }),
+        error => ({ status: 503, body: { reason: error.reason } })
+      )
+    },
+    unavailable: ({ reason }) => ({ status: 503, body: { reason } }),
+    rejected: ({ reason }) => ({ status: 503, body: { reason } }),
+    unknown: ({ reason }) => ({ status: 202, body: { reason: 'unknown', detail: reason } })
+  }
+
+  return async confirmation => {
+    const answered = check(confirmation)
+    if (answered !== undefined) return answered
+    const { changeId, actor, reason, operations, baseVersion } = confirmation
+    const committed = await options.writer.commit({ changeId, actor, reason, operations, baseVersion, at: wallNow() })
+    return committed.match<ConfirmationAnswer>(
+      configuration => {
+        adopt(configuration)
+        const version = configuration.recent.find(change => change.changeId === changeId)?.version ?? configuration.version
+        telemetry.log('change-confirmed', { changeId, actor, reason, version })
+        return { status: 200, body: { version } }
+      },
+      error => {
+        telemetry.log('change-refused', { changeId, actor, error: error.type })
+        const answer = FAILURES[error.type] as (error: CommitError, confirmation: Confirmation) => ConfirmationAnswer
+        return answer(error, confirmation)
+      }
+    )
+  }
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,2 @@
 export * from './daemon.js'
-export * from './settings.js'
+export type { Emit } from './event-source.js'
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,44 @@
+#!/usr/bin/env node
+/**
+ * The daemon `arbutustray-entry`: `arbutustray-entry SETTINGS`. Exits with 0 after a planned stop (SIGTERM, SIGINT),
+ * with 1 after a fault and with 2 if the settings can't be used.
+ */
+import { readFileSync } from 'node:fs'
+import { entrySettings, formatSettingsError, readSettings } from '@arbutustray/settings'
+import type { EntrySettings } from '@arbutustray/settings'
+import { startEntry } from './daemon.js'
+
+const EXIT_FAULT = 1
+const EXIT_SETTINGS = 2
+
+function fail (code: number, message: string): never {
+  process.stderr.write(`${message}\n`)
+  process.exit(code)
+}
+
+function loadSettings (fileName: string | undefined): EntrySettings {
+  if (fileName === undefined) fail(EXIT_SETTINGS, 'usage: arbutustray-entry SETTINGS')
+  let text: string
+  try {
+    text = readFileSync(fileName, 'utf8')
+  } catch (error) {
+    fail(EXIT_SETTINGS, `${fileName}: ${String(error)}`)
+  }
+  return readSettings(text, fileName, entrySettings)
+    .match(settings => settings, error => fail(EXIT_SETTINGS, formatSettingsError(error)))
+}
+
+async function run (): Promise<void> {
+  const entry = await startEntry(loadSettings(process.argv[2]))
+  let stopping = false
+  const stop = (): void => {
+    if (stopping) return
+    stopping = true
+    entry.stop().then(() => process.exit(0), error => fail(EXIT_FAULT, String(error)))
+  }
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+  await entry.failed
+}
+
+run().catch(error => fail(EXIT_FAULT, String(error)))
--- /dev/null
+++ b/packages/entry/src/operator-server.ts
@@ -0,0 +1,125 @@
+/**
+ * The operator port: plans, confirmations and what an operator wants to see. All calls but `/health` need the bearer
+ * token.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { REASONS } from '@arbutustray/core'
+import type { Engine, Operation } from '@arbutustray/core'
+import type { Telemetry } from '@arbutustray/telemetry'
+import { z } from 'zod'
+import type { Confirmation, ConfirmationAnswer } from './confirm.js'
+import type { RequestHandler } from './http-server.js'
+import { readJson } from './json-body.js'
+import type { OwnHeartbeat } from './own-heartbeat.js'
+import { sendJson } from './reject.js'
+import type { RequestIds } from './request-ids.js'
+import { readStatus, updateGauges } from './status.js'
+import { tokensEqual } from './token.js'
+
+export interface OperatorOptions {
+  readonly engine: Engine
+  readonly operatorToken: string
+  readonly confirm: (confirmation: Confirmation) => Promise<ConfirmationAnswer>
+  readonly ownHeartbeat: OwnHeartbeat
+  readonly ids: RequestIds
+  readonly telemetry: Telemetry
+}
+
+type Call = (request: IncomingMessage, response: ServerResponse, query: URLSearchParams) => void
+
+const BEARER = 'Bearer '
+
+/** Rows are checked when the plan is made, so that faults are named in its blockers. */
+const operation = z.union([
+  z.strictObject({ table: z.string(), put: z.looseObject({}) }),
+  z.strictObject({ table: z.string(), remove: z.string() })
+])
+
+const text = z.string().min(1).max(1_000)
+
+const PlanRequest = z.strictObject({ operations: z.array(operation) })
+
+const ConfirmationRequest = z.strictObject({
+  planId: text,
+  baseVersion: z.int().nonnegative(),
+  operations: z.array(operation),
+  changeId: text,
+  actor: text,
+  reason: text
+})
+
+/** Creates the handler of the operator port. */
+export function createOperatorHandler (options: OperatorOptions): RequestHandler {
+  const { engine, telemetry } = options
+
+  function plan (request: IncomingMessage, response: ServerResponse): void {
+    readJson(request, PlanRequest, parsed => parsed.match(
+      ({ operations }) => engine.plan(operations as unknown as readonly Operation[]).match(
+        plan => sendJson(response, 200, plan),
+        ({ reason }) => sendJson(response, reason === 'request-malformed' ? 400 : 503, { reason, message: REASONS[reason] })
+      ),
+      error => sendJson(response, error.status, { reason: error.reason, message: error.detail })
+    ))
+  }
+
+  function confirm (request: IncomingMessage, response: ServerResponse): void {
+    readJson(request, ConfirmationRequest, parsed => parsed.match(
+      value => {
+        options.confirm(value as unknown as Confirmation)
+          .then(({ status, body }) => sendJson(response, status, body))
+          .catch(error => {
+            // The write may have been sent before the fault.
+            telemetry.log('command-fault', { command: 'confirm', error: String(error) })
+            sendJson(response, 202, { reason: 'unknown' })
+          })
+      },
+      error => sendJson(response, error.status, { reason: error.reason, message: error.detail })
+    ))
+  }
+
+  function explain (_request: IncomingMessage, response: ServerResponse, query: URLSearchParams): void {
+    const id = query.get('request')
+    if (id === null) return sendJson(response, 400, { message: 'query parameter request is missing' })
+    const decision = engine.explain(options.ids.find(id) ?? id)
+    if (decision === undefined) return sendJson(response, 404, { message: `request ${id} is not among the newest ones` })
+    sendJson(response, 200, { ...decision, requestId: id })
+  }
+
+  function metrics (_request: IncomingMessage, response: ServerResponse): void {
+    updateGauges(engine, telemetry.metrics)
+    telemetry.metrics.text().then(
+      body => response.writeHead(200, { 'content-type': telemetry.metrics.contentType }).end(body),
+      () => response.writeHead(500).end()
+    )
+  }
+
+  function health (_request: IncomingMessage, response: ServerResponse): void {
+    const { state } = readStatus(engine, options.ownHeartbeat)
+    sendJson(response, state === 'ready' ? 200 : 503, { state })
+  }
+
+  const calls: Readonly<Record<string, Call>> = {
+    'POST /v1/plans': plan,
+    'POST /v1/confirmations': confirm,
+    'GET /v1/configuration': (_request, response) => {
+      const configuration = engine.configuration()
+      if (configuration !== undefined) return sendJson(response, 200, configuration)
+      sendJson(response, 503, { reason: 'no-configuration', message: REASONS['no-configuration'] })
+    },
+    'GET /v1/changes': (_request, response) => sendJson(response, 200, engine.configuration()?.recent ?? []),
+    'GET /v1/status': (_request, response) => sendJson(response, 200, readStatus(engine, options.ownHeartbeat)),
+    'GET /v1/explain': explain,
+    'GET /metrics': metrics
+  }
+
+  return (request, response) => {
+    const [path, query] = (request.url ?? '').split('?', 2)
+    const name = `${request.method} ${path}`
+    if (name === 'GET /health') return health(request, response)
+    const { authorization } = request.headers
+    const token = authorization?.startsWith(BEARER) === true ? authorization.slice(BEARER.length) : undefined
+    if (!tokensEqual(token, options.operatorToken)) return sendJson(response, 401, { message: 'bearer token is missing or wrong' })
+    if (!Object.hasOwn(calls, name)) return sendJson(response, 404, { message: `no such call: ${name}` })
+    calls[name](request, response, new URLSearchParams(query))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peer-client.ts
@@ -0,0 +1,95 @@
+/**
+ * Calls to other entry instances: heartbeats and configuration. Each call ends in an event.
+ */
+import { Agent } from 'node:http'
+import type { Configuration, PullConfiguration, SendHeartbeat } from '@arbutustray/core'
+import { Peer } from '@arbutustray/protocol'
+import type { Telemetry } from '@arbutustray/telemetry'
+import { createClient } from '@connectrpc/connect'
+import type { Client, Interceptor } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { decodeChanges, decodeConfiguration } from './configuration-message.js'
+import type { Emit } from './event-source.js'
+import { HEADER } from './headers.js'
+import { fromMessage, toMessage } from './heartbeat-message.js'
+
+/** A peer that does not answer within this time counts as unreachable; heartbeats are sent every second. */
+const CALL_TIMEOUT_MS = 1_000
+
+export interface PeerClientOptions {
+  readonly peerToken: string
+  readonly configuration: () => Configuration | undefined
+  readonly emit: Emit
+  readonly telemetry: Telemetry
+}
+
+export interface PeerClient {
+  readonly sendHeartbeat: (command: SendHeartbeat) => void
+  readonly pullConfiguration: (command: PullConfiguration) => void
+  readonly close: () => void
+}
+
+/** Creates the client for peers. Connections are kept and shared by all calls. */
+export function createPeerClient (options: PeerClientOptions): PeerClient {
+  const { emit, telemetry } = options
+  const agent = new Agent({ keepAlive: true })
+  const clients = new Map<string, Client<typeof Peer>>()
+  const authorize: Interceptor = next => async request => {
+    request.header.set(HEADER.peerToken, options.peerToken)
+    return await next(request)
+  }
+
+  function clientFor (address: string): Client<typeof Peer> {
+    let client = clients.get(address)
+    if (client === undefined) {
+      client = createClient(Peer, createConnectTransport({
+        baseUrl: `http://${address}`,
+        httpVersion: '1.1',
+        nodeOptions: { agent },
+        useBinaryFormat: true,
+        defaultTimeoutMs: CALL_TIMEOUT_MS,
+        interceptors: [authorize]
+      }))
+      clients.set(address, client)
+    }
+    return client
+  }
+
+  function onUnreachable (instanceId: string, address: string, error: unknown): void {
+    // A replaced instance has another address; its client must not be kept for ever.
+    clients.delete(address)
+    telemetry.log('peer-unreachable', { peerId: instanceId, error: String(error) })
+    emit({ type: 'peer-unreachable', instanceId })
+  }
+
+  async function exchange ({ address, heartbeat }: SendHeartbeat): Promise<void> {
+    const reply = await clientFor(address).exchange(toMessage(heartbeat))
+    emit({ type: 'heartbeat-received', heartbeat: fromMessage(reply) })
+  }
+
+  async function pull ({ address, sinceVersion }: PullConfiguration): Promise<void> {
+    const reply = await clientFor(address).pullConfiguration({ sinceVersion })
+    if (reply.version <= sinceVersion) return
+    const own = options.configuration()
+    const hasChanges = reply.changes.length > 0
+    // Meanwhile another source brought a newer version; the next heartbeat tells whether more is missing.
+    if (hasChanges && own?.version !== sinceVersion) return
+    const decoded = hasChanges && own !== undefined
+      ? decodeChanges(reply.changes, own)
+      : decodeConfiguration(reply.configuration)
+    decoded.match(
+      configuration => emit({ type: 'configuration-received', configuration, source: 'peer' }),
+      error => telemetry.log('configuration-unreadable', { source: 'peer', error })
+    )
+  }
+
+  return {
+    sendHeartbeat: command => {
+      exchange(command).catch(error => onUnreachable(command.instanceId, command.address, error))
+    },
+    pullConfiguration: command => {
+      pull(command).catch(error => onUnreachable(command.instanceId, command.address, error))
+    },
+    close: () => agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peer-server.ts
@@ -0,0 +1,77 @@
+/**
+ * The peer port: calls of other entry instances and the requests that they forward. Everything on it carries the
+ * shared peer token.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { Engine, RequestArrived } from '@arbutustray/core'
+import { Peer } from '@arbutustray/protocol'
+import type { Telemetry } from '@arbutustray/telemetry'
+import type { ConnectRouter } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { encodeDifference } from './configuration-message.js'
+import type { Emit } from './event-source.js'
+import { HEADER, single } from './headers.js'
+import { fromMessage, toMessage } from './heartbeat-message.js'
+import type { RequestHandler } from './http-server.js'
+import type { Intake } from './intake.js'
+import type { OwnHeartbeat } from './own-heartbeat.js'
+import { reject, sendJson } from './reject.js'
+import { tokensEqual } from './token.js'
+
+export interface PeerOptions {
+  readonly engine: Engine
+  readonly emit: Emit
+  readonly intake: Intake
+  readonly ownHeartbeat: OwnHeartbeat
+  readonly peerToken: string
+  readonly telemetry: Telemetry
+}
+
+const FORWARD_PREFIX = '/v1/forward/'
+
+/** Largest message that a peer may send, in bytes. A heartbeat of 1,000 sightings has less than 200 KiB. */
+const MAX_MESSAGE_BYTES = 1_048_576
+
+const EMPTY = new Uint8Array()
+
+/** Creates the handler of the peer port. */
+export function createPeerHandler (options: PeerOptions): RequestHandler {
+  const { engine, telemetry } = options
+  const calls = connectNodeAdapter({ routes: router => route(router, options), readMaxBytes: MAX_MESSAGE_BYTES })
+
+  return (request, response) => {
+    const url = request.url ?? ''
+    if (!tokensEqual(single(request.headers[HEADER.peerToken]), options.peerToken)) {
+      telemetry.log('peer-rejected', { path: url.startsWith(FORWARD_PREFIX) ? FORWARD_PREFIX : 'call' })
+      return sendJson(response, 401, { message: 'peer token is missing or wrong' })
+    }
+    if (!url.startsWith(FORWARD_PREFIX)) return calls(request, response)
+    const forwarded = readForwarded(request)
+    if (forwarded === undefined) return reject(request, response, { status: 400, reason: 'request-malformed' }, telemetry)
+    options.intake(request, response, FORWARD_PREFIX, forwarded)
+  }
+
+  function route (router: ConnectRouter, { emit, ownHeartbeat }: PeerOptions): void {
+    router.service(Peer, {
+      exchange: message => {
+        emit({ type: 'heartbeat-received', heartbeat: fromMessage(message) })
+        return toMessage(ownHeartbeat.current())
+      },
+      pullConfiguration: ({ sinceVersion }) => {
+        const configuration = engine.configuration()
+        if (configuration === undefined || configuration.version <= sinceVersion) {
+          return { version: configuration?.version ?? 0, configuration: EMPTY, changes: EMPTY }
+        }
+        return { version: configuration.version, ...encodeDifference(configuration, sinceVersion) }
+      }
+    })
+  }
+}
+
+function readForwarded (request: IncomingMessage): RequestArrived['forwarded'] | undefined {
+  const instanceId = single(request.headers[HEADER.forwardedBy])
+  const originZone = single(request.headers[HEADER.originZone])
+  const tenant = single(request.headers[HEADER.tenant])
+  if (instanceId === undefined || originZone === undefined || tenant === undefined) return undefined
+  return { instanceId, originZone, tenant, keyHome: request.headers[HEADER.keyHome] === 'true' }
+}
--- a/packages/entry/src/upstream-client.ts
+++ b/packages/entry/src/upstream-client.ts
@@ -7,7 +7,7 @@
 import type { Dispatcher } from 'undici'
 import { Attempt } from './attempt.js'
 import type { AttemptTarget } from './attempt.js'
-import type { Emit } from './event-loop.js'
+import type { Emit } from './event-source.js'
 import type { Exchange } from './exchange.js'
 import { HEADER } from './headers.js'
 
--- a/packages/entry/tests/real/support.ts
+++ b/packages/entry/tests/real/support.ts
@@ -9,7 +9,8 @@
 import type { Configuration, ListedInstance, Service } from '@arbutustray/core'
 import { onTestFinished } from 'vitest'
 import { startEntry } from '../../src/index.js'
-import type { Entry, EntrySettings } from '../../src/index.js'
+import type { EntrySettings } from '@arbutustray/settings'
+import type { Entry } from '../../src/index.js'
 
 export const SERVICE: Service = {
   id: 'token',
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -30,6 +30,13 @@
     message: 'handling the event {event} threw: {error}',
     fields: ['event', 'error']
   },
+  'command-fault': {
+    number: 1005,
+    level: 'error',
+    message: 'carrying out the command {command} threw: {error}',
+    fields: ['command', 'error']
+  },
+  'loop-ended': { number: 1006, level: 'error', message: 'the event loop ended: {error}', fields: ['error'] },
   'request-rejected': {
     number: 2001,
     level: 'debug',
