--- /dev/null
+++ b/packages/bench/src/path/entry-process.ts
@@ -0,0 +1,67 @@
+/**
+ * One entry instance with one upstream and with the client blocks of the design size.
+ */
+import { EMPTY_CONFIGURATION, createBlockTableBuilder } from '@arbutustray/core'
+import type { BlockTable, Configuration } from '@arbutustray/core'
+import { startEntry } from '@arbutustray/entry'
+import { entrySettings } from '@arbutustray/settings'
+import { reportReady } from './child.js'
+
+const [upstream = '', blocks = '0'] = process.argv.slice(2)
+
+const ZONES = 80
+
+const CONFIGURATION: Configuration = {
+  ...EMPTY_CONFIGURATION,
+  version: 1,
+  regions: [{ id: 'r' }],
+  zones: Array.from({ length: ZONES }, (_, index) => ({ id: `z${index}`, region: 'r', instances: 1 })),
+  services: [{
+    id: 's',
+    // More than the load's concurrency, so that no request waits for a slot.
+    slots: 1_000,
+    connections: 1_000,
+    deadlineMs: 10_000,
+    maxBodyBytes: 1_048_576,
+    refusalHeader: 'x-load-shed',
+    coldStartMs: 0,
+    routes: [{ method: 'GET', prefix: '/', kind: 'plain', length: 'short' }]
+  }],
+  places: [{ service: 's', zone: 'z0' }],
+  rules: [{ service: 's', scope: 'zone', shiftCap: 0.2, longShare: 0.5 }]
+}
+
+/** Blocks of 16 addresses, one after the other from 10.0.0.0, with owners that change from block to block. */
+function buildBlocks (count: number): BlockTable {
+  const builder = createBlockTableBuilder()
+  for (let index = 0; index < count; index += 1) {
+    const start = index * 16
+    const address = `${10 + (start >>> 24)}.${(start >>> 16) & 255}.${(start >>> 8) & 255}.${start & 255}`
+    builder.add(`${address}/28`, { zone: `z${index % ZONES}`, tenant: `t${index % 7}` })
+  }
+  return builder.build()
+}
+
+const entry = await startEntry(entrySettings.parse({
+  instanceId: 'i1',
+  zone: 'z0',
+  callerAddress: '127.0.0.1:0',
+  operatorAddress: '127.0.0.1:0',
+  peerAddress: '127.0.0.1:0',
+  // Nothing listens there: serving goes on without the platform.
+  platformUrl: 'http://127.0.0.1:9',
+  peerToken: 'p',
+  operatorToken: 'o',
+  logLevel: 'error'
+}))
+entry.emit({ type: 'configuration-received', configuration: CONFIGURATION, source: 'platform' })
+entry.emit({
+  type: 'list-received',
+  entries: [{ id: 'u1', role: 'upstream', service: 's', zone: 'z0', address: upstream, state: 'live' }]
+})
+const table = buildBlocks(Number(blocks))
+entry.engine.world.clientBlocks = table
+reportReady({
+  address: entry.addresses.caller,
+  ...(table.size === 0 ? {} : { bytesPerClientBlock: table.bytes / table.size })
+})
--- /dev/null
+++ b/packages/bench/src/path/measure.ts
@@ -0,0 +1,115 @@
+/**
+ * Compares an entry instance with the bare pass-through in alternating rounds, and measures look-ups with the client
+ * blocks of the design size.
+ */
+import type { Child } from './child.js'
+import { startChild } from './child.js'
+import type { LoadResult } from './load.js'
+import { runLoad } from './load.js'
+
+export interface PathOptions {
+  /** Rounds of each server; medians over the rounds are reported. */
+  readonly rounds: number
+  readonly roundMs: number
+  readonly concurrency: number
+  readonly blocks: number
+}
+
+export interface PathFigures {
+  /** Throughput of the entry instance divided by that of the pass-through. Target: at least 0.7. */
+  readonly passThroughRatio: number
+  /** Added median latency of requests that are sent one after the other, in milliseconds. Target: at most 0.3. */
+  readonly addedP50Ms: number
+  /** Look-ups over HTTP for each second of processor time of the entry instance. Target: at least 10,000. */
+  readonly lookupsPerSecond: number
+  /** Look-ups over HTTP for each second of wall time, which the load generator may limit. */
+  readonly lookupsPerWallSecond: number
+  /** Bytes of the block table for each client block; 128 MB allow 156. */
+  readonly bytesPerClientBlock: number
+  readonly blocks: number
+  readonly requestsPerSecond: { readonly entry: number, readonly passThrough: number }
+  readonly p50Ms: { readonly entry: number, readonly passThrough: number }
+  readonly failed: number
+}
+
+const SERVICE_PATH = '/v1/services/s/cards/1'
+const WARM_UP_MS = 1_000
+const ADDRESSES_PER_BLOCK = 16
+
+/** A step through the blocks that no cache follows. */
+const BLOCK_STRIDE = 7_919
+
+function median (values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  const middle = sorted.length >> 1
+  return sorted.length % 2 === 1 ? sorted[middle] : (sorted[middle - 1] + sorted[middle]) / 2
+}
+
+function rate (result: LoadResult): number {
+  return result.completed / result.seconds
+}
+
+function lookupPath (blocks: number): (index: number) => string {
+  return index => {
+    const start = ((index * BLOCK_STRIDE) % blocks) * ADDRESSES_PER_BLOCK
+    const client = `${10 + (start >>> 24)}.${(start >>> 16) & 255}.${(start >>> 8) & 255}.${(start & 255) + 3}`
+    return `/v1/lookup?service=s&client=${client}`
+  }
+}
+
+/** Runs the whole measurement. */
+export async function measurePath (options: PathOptions, progress: (text: string) => void): Promise<PathFigures> {
+  const children: Child[] = []
+  const start = async (module: string, ...args: string[]): Promise<Child> => {
+    const child = await startChild(module, args)
+    children.push(child)
+    return child
+  }
+  try {
+    const upstream = await start('./upstream-process.js')
+    const passThrough = await start('./pass-through-process.js', upstream.address)
+    const entry = await start('./entry-process.js', upstream.address, String(options.blocks))
+    return await compare(options, entry, passThrough, progress)
+  } finally {
+    await Promise.all(children.map(async child => await child.stop()))
+  }
+}
+
+async function compare (
+  options: PathOptions, entry: Child, passThrough: Child, progress: (text: string) => void
+): Promise<PathFigures> {
+  const { roundMs, concurrency, rounds, blocks } = options
+  const servers = { passThrough, entry }
+  const load = async (server: Child, many: number, durationMs: number): Promise<LoadResult> =>
+    await runLoad({ address: server.address, path: () => SERVICE_PATH, concurrency: many, durationMs })
+  const busy = { entry: [] as number[], passThrough: [] as number[] }
+  const single = { entry: [] as number[], passThrough: [] as number[] }
+  let failed = 0
+  for (const server of Object.values(servers)) await load(server, concurrency, WARM_UP_MS)
+  for (let round = 0; round < rounds; round += 1) {
+    for (const name of ['passThrough', 'entry'] as const) {
+      const many = await load(servers[name], concurrency, roundMs)
+      const one = await load(servers[name], 1, roundMs / 2)
+      failed += many.failed + one.failed
+      busy[name].push(rate(many))
+      single[name].push(one.p50Ms)
+      progress(`round ${round + 1} ${name}: ${rate(many).toFixed(0)} requests/s, p50 ${one.p50Ms.toFixed(3)} ms`)
+    }
+  }
+  const cpuBefore = await entry.cpuSeconds()
+  const lookups = await runLoad({ address: entry.address, path: lookupPath(Math.max(1, blocks)), concurrency, durationMs: roundMs })
+  const cpu = await entry.cpuSeconds() - cpuBefore
+  const requestsPerSecond = { entry: median(busy.entry), passThrough: median(busy.passThrough) }
+  const p50Ms = { entry: median(single.entry), passThrough: median(single.passThrough) }
+  return {
+    passThroughRatio: requestsPerSecond.entry / requestsPerSecond.passThrough,
+    addedP50Ms: p50Ms.entry - p50Ms.passThrough,
+    lookupsPerSecond: lookups.completed / cpu,
+    lookupsPerWallSecond: rate(lookups),
+    bytesPerClientBlock: entry.bytesPerClientBlock ?? 0,
+    blocks,
+    requestsPerSecond,
+    p50Ms,
+    failed: failed + lookups.failed
+  }
+}
