Add the command line arbutustray

Cause: operators need plan and confirmation, status and explanations from a shell, with exit statuses for scripts. Ruled out: one exit status for all failures, since a script must not repeat a change that may have taken effect; treating a lost answer or a 5xx to a confirmation as not changed. Change: apply, plan, confirm, drain, undrain, status, check, explain and lookup over clipanion; docs/cli.md checked against the code. The vitest configuration resolves clipanion as Node does: Vite chose an .mjs file next to the package's entry, which fails to load.

--- /dev/null
+++ b/packages/cli/src/commands/operator-command.ts
@@ -0,0 +1,63 @@
+/**
+ * Options and error handling that all commands of the operator port share.
+ */
+import type { Operation, Plan } from '@arbutustray/core'
+import type { ExitCode } from '../exit-code.js'
+import type { OperatorClient, OperatorError } from '../operator-client.js'
+import { Command, Option } from 'clipanion'
+import { writeFile } from 'node:fs/promises'
+import { EXIT } from '../exit-code.js'
+import { formatPlan } from '../format.js'
+import { createOperatorClient } from '../operator-client.js'
+
+const ERROR_EXIT: { readonly [T in OperatorError['type']]: ExitCode } = {
+  unreachable: EXIT.unavailable,
+  refused: EXIT.refused,
+  unknown: EXIT.unknown
+}
+
+/** Prints lines or, with `--json`, the value itself. */
+export abstract class PrintingCommand extends Command {
+  json = Option.Boolean('--json', false, { description: 'Print the answer as JSON.' })
+
+  protected print (value: unknown, text: string): void {
+    this.context.stdout.write(`${this.json ? JSON.stringify(value, undefined, 2) : text}\n`)
+  }
+
+  protected note (text: string): void {
+    this.context.stderr.write(`${text}\n`)
+  }
+
+  protected fail (error: OperatorError): ExitCode {
+    this.note(`${error.type}: ${error.reason}`)
+    return ERROR_EXIT[error.type]
+  }
+}
+
+/** A command that talks to the operator port. */
+export abstract class OperatorCommand extends PrintingCommand {
+  operator = Option.String('--operator', '127.0.0.1:8081', {
+    env: 'ARBUTUSTRAY_OPERATOR',
+    description: 'Operator address of an entry instance, host:port. Also ARBUTUSTRAY_OPERATOR.'
+  })
+
+  token = Option.String('--token', { env: 'ARBUTUSTRAY_TOKEN', description: 'Operator token. Also ARBUTUSTRAY_TOKEN.' })
+
+  protected client (): OperatorClient {
+    return createOperatorClient(this.operator, this.token)
+  }
+
+  /** Prints the plan and writes it to the file `out`. `undefined` means that there is nothing to change. */
+  protected async makePlan (operations: readonly Operation[], out?: string): Promise<Plan | ExitCode> {
+    if (operations.length === 0) {
+      this.note('nothing to change')
+      return EXIT.ok
+    }
+    const planned = await this.client().plan(operations)
+    if (planned.isErr()) return this.fail(planned.error)
+    const plan = planned.value
+    this.print(plan, formatPlan(plan))
+    if (out !== undefined) await writeFile(out, `${JSON.stringify(plan, undefined, 2)}\n`)
+    return plan.blockers.length === 0 ? plan : EXIT.blocked
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/plan.ts
@@ -0,0 +1,29 @@
+/**
+ * `arbutustray plan`: shows what applying a file would do.
+ */
+import type { ExitCode } from '../exit-code.js'
+import { Command, Option } from 'clipanion'
+import { EXIT } from '../exit-code.js'
+import { fileOperations } from '../file-operations.js'
+import { OperatorCommand } from './operator-command.js'
+
+export class PlanCommand extends OperatorCommand {
+  static override paths = [['plan']]
+  static override usage = Command.Usage({
+    description: 'Show base version, operations, moves and blockers of applying FILE. Changes nothing.'
+  })
+
+  out = Option.String('--out', { description: 'Write the plan as JSON to this file, for `confirm`.' })
+  file = Option.String({ name: 'FILE' })
+
+  override async execute (): Promise<ExitCode> {
+    const operations = await fileOperations(this.file, this.client())
+    if (operations.isErr()) {
+      if (typeof operations.error !== 'string') return this.fail(operations.error)
+      this.note(operations.error)
+      return EXIT.usage
+    }
+    const plan = await this.makePlan(operations.value, this.out)
+    return typeof plan === 'number' ? plan : EXIT.ok
+  }
+}
--- /dev/null
+++ b/packages/cli/src/read-file.ts
@@ -0,0 +1,35 @@
+/**
+ * Reads and checks the files that the commands are given.
+ */
+import type { Plan } from '@arbutustray/core'
+import type { Result } from 'neverthrow'
+import type { z } from 'zod'
+import { formatSettingsError, readSettings } from '@arbutustray/settings'
+import { err, ok } from 'neverthrow'
+import { readFile } from 'node:fs/promises'
+
+async function readText (fileName: string): Promise<Result<string, string>> {
+  try {
+    return ok(await readFile(fileName, 'utf8'))
+  } catch (error) {
+    return err(`${fileName}: ${(error as Error).message}`)
+  }
+}
+
+/** Reads JSON with comments against a schema. The error is a text for the operator. */
+export async function readChecked<S extends z.ZodType> (fileName: string, schema: S): Promise<Result<z.output<S>, string>> {
+  return (await readText(fileName)).andThen(text => readSettings(text, fileName, schema).mapErr(formatSettingsError))
+}
+
+/** Reads a plan that `plan --out` wrote. The entry instance checks it by its plan id. */
+export async function readPlan (fileName: string): Promise<Result<Plan, string>> {
+  return (await readText(fileName)).andThen(text => {
+    try {
+      const plan = JSON.parse(text)
+      const usable = typeof plan?.planId === 'string' && Number.isInteger(plan.baseVersion) && Array.isArray(plan.operations)
+      return usable ? ok(plan as Plan) : err(`${fileName}: expected a plan written by \`plan --out\``)
+    } catch (error) {
+      return err(`${fileName}: expected JSON: ${(error as Error).message}`)
+    }
+  })
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,11 @@
+import { createRequire } from 'node:module'
 import { defineConfig } from 'vitest/config'
 
-const resolve = { conditions: ['source', 'node', 'import', 'default'] }
+const resolve = {
+  conditions: ['source', 'node', 'import', 'default'],
+  // The entry that Node loads. Vite prefers an .mjs file next to it, whose directory imports Node does not resolve.
+  alias: { clipanion: createRequire(import.meta.url).resolve('clipanion') }
+}
 const ssr = { resolve }
 
 /** Unit tests run on a paused clock; `real` and `processes` tests use the runtime's clock. */
