Stop forwarding to a peer that refused since its last headroom

Cause: by the wait formula an overloaded zone would forward each request once, have it refused, and then queue it, because the last headroom of a saturated peer still shows the shorter wait. Ruled out: never forwarding to a peer without free slots; its headroom is up to a second old. Change: a refusal holds for the peer, service and length class until newer headroom arrives. Tests for placement, retries and hedges.

--- a/packages/core/src/routing/attempt-events.ts
+++ b/packages/core/src/routing/attempt-events.ts
@@ -69,6 +69,9 @@
   context.attempts.end(attempt, progress, shed ? 'refused' : 'unreachable', step.now)
   const request = { ...found.request, refusals: found.request.refusals + 1 }
   context.world.requests.set(request.id, request)
+  if (attempt.target.type === 'instance' && progress.keyHome === undefined) {
+    context.peerRefusals.record(attempt.target.id, request.service, request.length, step.now)
+  }
   if (shed) observeTrip(context, found, 0, step.now)
   if (progress.open.length > 0) return request.service
   if (progress.keyHome !== undefined) {
--- a/packages/core/src/routing/routing-context.ts
+++ b/packages/core/src/routing/routing-context.ts
@@ -6,6 +6,7 @@
 import type { AttemptTable } from './attempt-table.js'
 import type { ConfigurationIndex } from './configuration-index.js'
 import type { DecisionLog } from './decision-log.js'
+import type { PeerRefusals } from './peer-refusals.js'
 import type { Progress } from './progress.js'
 import type { RequestQueues } from './request-queues.js'
 import type { RoundTrips } from './round-trips.js'
@@ -14,6 +15,7 @@
 import { createAttemptTable } from './attempt-table.js'
 import { createConfigurationIndex } from './configuration-index.js'
 import { createDecisionLog } from './decision-log.js'
+import { createPeerRefusals } from './peer-refusals.js'
 import { createRequestQueues } from './request-queues.js'
 import { createRoundTrips } from './round-trips.js'
 import { createTimerHeap } from './timer-heap.js'
@@ -31,6 +33,7 @@
   readonly hedgeTimers: TimerHeap
   readonly decisions: DecisionLog
   readonly trips: RoundTrips
+  readonly peerRefusals: PeerRefusals
   /** Index of the current configuration. */
   readonly index: () => ConfigurationIndex | undefined
 }
@@ -55,6 +58,7 @@
     hedgeTimers: createTimerHeap(),
     decisions: createDecisionLog(),
     trips: createRoundTrips(),
+    peerRefusals: createPeerRefusals(),
     index () {
       if (world.configuration !== indexed) {
         indexed = world.configuration
--- a/packages/core/src/routing/routing-system.ts
+++ b/packages/core/src/routing/routing-system.ts
@@ -60,6 +60,7 @@
         expireDue(context, step)
         sweepQueues(context)
         serveAll(context, step)
+        context.peerRefusals.forget(id => world.instances.has(id))
         return undefined
       })
     }
--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -61,6 +61,7 @@
   for (const instance of instances.values()) {
     if (instance.state !== 'live' || instance.zone === self.zone || progress.tried.has(instance.id)) continue
     if (!index.accepts(request.service, instance.zone)) continue
+    if (context.peerRefusals.applies(instance, request.service, request.length)) continue
     const near = sameRegion(index, self.zone, instance.zone)
     const waitMs = context.trips.estimateMs(instance.zone, near) + peerWaitMs(context, instance, request)
     if (waitMs >= leftMs || waitMs >= choice.waitMs) continue
--- /dev/null
+++ b/packages/core/tests/routing/placement.test.ts
@@ -0,0 +1,100 @@
+import { describe, expect, it } from 'vitest'
+import type { Headroom } from '../../src/heartbeat.js'
+import type { World } from '../../src/tables.js'
+import { setUp, types } from './set-up.js'
+
+const noMoves = { recordRequest: () => {}, mayMove: () => false, recordMove: () => {} }
+
+function setPeer (world: World, headroom: Partial<Headroom>): void {
+  const peer = world.instances.get('p2')!
+  world.instances.set('p2', {
+    ...peer, headroom: new Map([['s', { service: 's', free: 1, slots: 2, queued: 0, ...headroom }]])
+  })
+}
+
+describe('placement', () => {
+  it('queues while the own wait is shorter than the round trip and the wait of the sibling zone', () => {
+    const { world, arrive } = setUp(1)
+    setPeer(world, { free: 0, queued: 1 })
+    arrive('q1', '/plain')
+    arrive('q2', '/plain')
+    // 5 ms here; 3 ms of round trip and 10 ms of waiting there.
+    expect(arrive('q3', '/plain')).toEqual([])
+    setPeer(world, { free: 1, queued: 1 })
+    // 10 ms here; 3 ms of round trip there.
+    expect(types(arrive('q4', '/plain'))).toEqual(['forward'])
+    // The free slot of the last heartbeat is now in use by q4, so 13 ms there.
+    expect(arrive('q5', '/plain')).toEqual([])
+  })
+
+  it('refuses what neither fits nor may move, guarding against shifts above the cap', () => {
+    const { arrive } = setUp(0, { shifts: noMoves })
+    expect(arrive('q1', '/plain')).toMatchObject([{ type: 'respond', outcome: 'not-run', reason: 'shift-cap', retryAfterMs: 1_000 }])
+  })
+
+  it('counts work of another origin zone as moved, guarding against a cap that look-ups bypass', () => {
+    const { world, arrive } = setUp(1, { shifts: noMoves, origin: () => ({ zone: 'z2', tenant: 't' }) })
+    expect(types(arrive('q1', '/plain'))).toEqual(['forward'])
+    world.instances.clear()
+    expect(arrive('q2', '/plain')).toMatchObject([{ type: 'respond', reason: 'shift-cap' }])
+  })
+
+  it('keeps new work out of a drained zone, guarding against a plan that is confirmed but not in force', () => {
+    const { world, arrive } = setUp(1)
+    world.configuration = { ...world.configuration!, drains: [{ kind: 'zone', target: 'z1' }] }
+    expect(types(arrive('q1', '/plain'))).toEqual(['forward'])
+  })
+
+  it('places queued requests anew when the own zone loses its upstreams', () => {
+    const { world, handle, arrive } = setUp(1)
+    setPeer(world, { free: 0, queued: 9 })
+    for (const id of ['q1', 'q2', 'q3']) arrive(id, '/plain')
+    world.upstreams.clear()
+    expect(types(handle({ type: 'tick' }, 10))).toEqual(['forward'])
+  })
+
+  it('falls back to the own queue when the peer refuses, guarding against refusals on stale headroom', () => {
+    const { handle, arrive } = setUp(1)
+    for (const id of ['q1', 'q2', 'q3']) arrive(id, '/plain')
+    expect(handle({ type: 'attempt-refused', attemptId: 'a3', proof: 'shed' }, 3)).toEqual([])
+    // The peer has sent no headroom since its refusal.
+    expect(arrive('q4', '/plain', {}, 3)).toEqual([])
+    handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 4)
+    expect(handle({ type: 'attempt-finished', attemptId: 'a1' }, 5)).toMatchObject([{ type: 'dispatch', requestId: 'q3' }])
+  })
+})
+
+describe('retries and hedges', () => {
+  const emptyBudget = { recordRequest: () => {}, take: () => false }
+  const hedges = { recordLatency: () => {}, delayMs: () => 5, take: (_service: string, share: number) => share > 0.4 }
+
+  it('tries another upstream after a refusal within the budget, and outside it when the upstream leaves', () => {
+    const leaving = setUp(2, { retries: emptyBudget })
+    leaving.arrive('q1', '/plain')
+    expect(leaving.handle({ type: 'attempt-refused', attemptId: 'a1', proof: 'shed', leaving: true }, 1)).toMatchObject(
+      [{ type: 'dispatch', upstreamId: 'u2' }])
+    const shed = setUp(2, { retries: emptyBudget })
+    shed.arrive('q1', '/plain')
+    expect(shed.handle({ type: 'attempt-refused', attemptId: 'a1', proof: 'shed' }, 1)).toMatchObject(
+      [{ type: 'respond', outcome: 'not-run', reason: 'retry-budget' }])
+  })
+
+  it('relays the first answer and cancels the loser, guarding against two answers and a slot held for nothing', () => {
+    const { handle, arrive } = setUp(2, { hedges })
+    arrive('q1', '/repeatable')
+    expect(handle({ type: 'tick' }, 4)).toEqual([])
+    expect(handle({ type: 'tick' }, 5)).toMatchObject([{ type: 'dispatch', attemptId: 'a2', upstreamId: 'u2' }])
+    expect(handle({ type: 'attempt-answered', attemptId: 'a2', status: 200 }, 7)).toMatchObject([
+      { type: 'cancel-attempt', attemptId: 'a1' }, { type: 'relay', attemptId: 'a2', reason: 'hedged' }
+    ])
+    expect(handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 8)).toEqual([])
+  })
+
+  it('does not hedge plain requests or without headroom, guarding against second runs and added load', () => {
+    const { handle, arrive } = setUp(2, { hedges })
+    arrive('q1', '/plain')
+    expect(handle({ type: 'tick' }, 5)).toEqual([])
+    for (const id of ['q2', 'q3']) arrive(id, '/repeatable', {}, 6)
+    expect(handle({ type: 'tick' }, 11)).toEqual([])
+  })
+})
