--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -4,6 +4,7 @@
  */
 import type { Configuration } from './configuration.js'
 import type { Heartbeat } from './heartbeat.js'
+import type { Reason } from './reason.js'
 
 /** One entry of the platform's lagging list. */
 export interface ListedInstance {
@@ -39,6 +40,8 @@
   readonly timeoutMs?: number
   /** Length of the request body in bytes, when stated. */
   readonly contentLength?: number
+  /** The body is streamed to one attempt, so the request is not sent again after an attempt was written. */
+  readonly singleUseBody?: boolean
   /** Set when a peer forwarded the request. */
   readonly forwarded?: {
     readonly instanceId: string
@@ -60,6 +63,10 @@
   readonly proof: 'not-written' | 'shed'
   /** The receiver announced that it is leaving. */
   readonly leaving?: boolean
+  /** Part of a streamed request body was read for this attempt, so the request can't be sent again. */
+  readonly bodyConsumed?: boolean
+  /** Reason that another entry instance stated for its refusal. */
+  readonly reason?: Reason
 }
 
 /** Status and headers of the answer were read. */
@@ -83,6 +90,8 @@
   readonly type: 'attempt-failed'
   readonly attemptId: string
   readonly truncated: boolean
+  /** Reason that another entry instance stated for the unknown outcome. */
+  readonly reason?: Reason
 }
 
 /** The caller closed its exchange. */
--- a/packages/core/src/routing/attempt-table.ts
+++ b/packages/core/src/routing/attempt-table.ts
@@ -1,10 +1,10 @@
 /**
- * Owns the attempts table. Keeps the number of outstanding attempts by target, so that no decision scans the table,
- * and reports starts and ends to the upstream selector and the slot limits.
+ * Owns the attempts table. Keeps the index of outstanding attempts, so that no decision scans the table, and reports starts and ends to the upstream selector and the slot limits.
  */
 import type { Attempt, Request, World } from '../tables.js'
 import type { RoutingParts } from './routing-parts.js'
 import type { Progress } from './progress.js'
+import { createOutstanding } from '../limits/outstanding.js'
 
 /** How an attempt ended. `unreachable`: refused because the connection failed before the first write. */
 export type AttemptEnd = 'finished' | 'refused' | 'unreachable' | 'failed' | 'cancelled'
@@ -23,8 +23,8 @@
   advance (attemptId: string, state: Attempt['state']): Attempt | undefined
   /** Removes the attempt and records its end in the progress. */
   end (attempt: Attempt, progress: Progress, ended: AttemptEnd, now: number): void
-  /** Attempts at an upstream or an instance that have not ended. */
-  outstanding (targetId: string): number
+  /** Attempts at another instance that have not ended. */
+  forwardsTo (instanceId: string): number
 }
 
 /** A connection failure counts as a failure of the upstream, not as load that it shed. */
@@ -34,11 +34,12 @@
 
 /** Creates the owner of `world.attempts`. */
 export function createAttemptTable (world: World, parts: RoutingParts): AttemptTable {
-  const counts = new Map<string, number>()
+  const forwards = createOutstanding()
   let created = 0
 
   function reportEnd (attempt: Attempt, ended: AttemptEnd, now: number): void {
-    if (attempt.target.type !== 'upstream') return
+    if (attempt.target.type === 'instance') return forwards.remove(attempt.target.id, attempt.id)
+    parts.outstanding.remove(attempt.target.id, attempt.id)
     parts.upstreams.recordEnd(attempt.target.id, attempt.id, SELECTOR_END[ended], now)
     if (ended === 'refused') parts.slots.recordRefusal(attempt.target.id, now)
     if (ended === 'finished') parts.slots.recordCompletion(attempt.target.id, now)
@@ -49,11 +50,13 @@
       created += 1
       const attempt: Attempt = { id: `a${created}`, requestId: request.id, startedAt: now, state: 'created', ...start }
       world.attempts.set(attempt.id, attempt)
-      counts.set(attempt.target.id, (counts.get(attempt.target.id) ?? 0) + 1)
       progress.open = [...progress.open, attempt.id]
-      if (attempt.target.type === 'instance') progress.forwards += 1
-      else {
+      if (attempt.target.type === 'instance') {
+        progress.forwards += 1
+        forwards.add(attempt.target.id, attempt.id, request.length, now)
+      } else {
         progress.dispatches += 1
+        parts.outstanding.add(attempt.target.id, attempt.id, request.length, now)
         parts.upstreams.recordStart(attempt.target.id, attempt.id, now)
       }
       return attempt
@@ -67,9 +70,6 @@
     },
     end (attempt, progress, ended, now) {
       world.attempts.delete(attempt.id)
-      const count = (counts.get(attempt.target.id) ?? 1) - 1
-      if (count === 0) counts.delete(attempt.target.id)
-      else counts.set(attempt.target.id, count)
       progress.open = progress.open.filter(id => id !== attempt.id)
       progress.ended.push({ target: attempt.target.id, zone: attempt.zone, end: ended })
       const refused = ended === 'refused' || ended === 'unreachable'
@@ -77,6 +77,6 @@
       if (refused || ended === 'failed') progress.tried.add(attempt.target.id)
       reportEnd(attempt, ended, now)
     },
-    outstanding: targetId => counts.get(targetId) ?? 0
+    forwardsTo: forwards.count
   }
 }
--- a/packages/core/src/routing/hedging.ts
+++ b/packages/core/src/routing/hedging.ts
@@ -13,6 +13,7 @@
 function hedge (context: RoutingContext, request: Request, step: Step): void {
   const progress = context.progress.get(request.id)
   if (progress === undefined || progress.open.length !== 1 || request.state !== 'running') return
+  if (progress.singleUseBody) return
   const attempt = context.world.attempts.get(progress.open[0]!)
   if (attempt === undefined || attempt.hedge || attempt.target.type !== 'upstream') return
   // Work that waits for a slot has more use for it than a second attempt.
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -46,9 +46,8 @@
   const attempt = context.attempts.start(request, progress, start, step.now)
   setState(context, request, 'running')
   const keyHome = progress.keyHome !== undefined
-  const regions = context.index()?.regions
-  const from = regions?.get(context.world.self.zone)
-  const to = regions?.get(zone)
+  const from = context.rows.zone(context.world.self.zone)?.region
+  const to = context.rows.zone(zone)?.region
   if (from !== undefined && to !== undefined && from !== to) {
     context.parts.links.take(from, to, request.contentLength, step.now)
   }
@@ -69,7 +68,7 @@
 /** Why the own zone may not run the request; `undefined` when it may. */
 function ownZoneBlocked (context: RoutingContext, request: Request, progress: Progress, now: number): Reason | undefined {
   const { zone } = context.world.self
-  if (context.index()?.accepts(request.service, zone) !== true) return 'no-capacity'
+  if (!context.hosting.accepts(request.service, zone)) return 'no-capacity'
   if (progress.onlyHere || progress.moved || zone === request.originZone) return undefined
   return context.parts.shifts.mayMove(request.service, request.originZone, zone, now) ? undefined : 'shift-cap'
 }
--- a/packages/core/src/routing/progress.ts
+++ b/packages/core/src/routing/progress.ts
@@ -30,6 +30,8 @@
   refusedByHome: boolean
   /** The request came from a peer that wants it run here, now. */
   readonly onlyHere: boolean
+  /** The body is streamed from the caller, so no attempt may follow one that was written. */
+  readonly singleUseBody: boolean
   /** The request was counted as moved out of its origin zone. */
   moved: boolean
 }
@@ -40,7 +42,7 @@
 }
 
 /** Creates the progress of a request without attempts. */
-export function createProgress (options: Pick<Progress, 'holdsKey' | 'keyHome' | 'onlyHere'>): Progress {
+export function createProgress (options: Pick<Progress, 'holdsKey' | 'keyHome' | 'onlyHere' | 'singleUseBody'>): Progress {
   return {
     ...options,
     open: [],
--- a/packages/core/src/routing/routing-system.ts
+++ b/packages/core/src/routing/routing-system.ts
@@ -6,12 +6,14 @@
 import type { Command } from '../command.js'
 import type { Decision } from '../create-engine.js'
 import type { System } from '../engine.js'
+import type { Headroom } from '../heartbeat.js'
 import type { World } from '../tables.js'
 import type { RoutingParts } from './routing-parts.js'
 import type { Step } from './routing-context.js'
 import { arrive } from './arrival.js'
 import { attemptAnswered, attemptFailed, attemptFinished, attemptRefused, attemptWritten } from './attempt-events.js'
 import { cancelRequest, expireDue } from './expiry.js'
+import { headroomOf } from './headroom.js'
 import { hedgeDue } from './hedging.js'
 import { serveAll, serveService, sweepQueues } from './queue-service.js'
 import { createRoutingContext } from './routing-context.js'
@@ -20,8 +22,8 @@
 export interface Routing {
   readonly system: System
   readonly explain: (requestId: string) => Decision | undefined
-  /** Requests of a service that wait for a slot. */
-  readonly queued: (service: string) => number
+  /** Headroom of the own zone. */
+  readonly headroom: (now: number) => readonly Headroom[]
 }
 
 /** Creates the routing system over a world. It owns the tables `requests` and `attempts`. */
@@ -47,10 +49,11 @@
         arrive(context, event, step)
         return undefined
       }),
-      'attempt-written': (event, now) => run(now, () => {
+      // Only a fact: acting on time here could end another request before the report of its own first write.
+      'attempt-written': event => {
         attemptWritten(context, event)
-        return undefined
-      }),
+        return []
+      },
       'attempt-refused': (event, now) => run(now, step => attemptRefused(context, event, step)),
       'attempt-answered': (event, now) => run(now, step => attemptAnswered(context, event, step)),
       'attempt-finished': (event, now) => run(now, step => attemptFinished(context, event, step)),
@@ -69,6 +72,6 @@
   return {
     system,
     explain: context.decisions.find,
-    queued: service => context.queues.size(service, 'short') + context.queues.size(service, 'long')
+    headroom: now => headroomOf(context, now)
   }
 }
