--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -7,11 +7,26 @@
 import type { Event } from './event.js'
 import type { Reason } from './reason.js'
 import type { Self, World } from './tables.js'
-import { createWorld } from './engine.js'
-import { createBasicSystem } from './basic-system.js'
-import { runSystems } from './engine.js'
+import type { Heartbeat } from './heartbeat.js'
+import { err } from 'neverthrow'
 import { monotonicNow } from './clock.js'
-import { err, ok } from 'neverthrow'
+import { createConfigurationSystem } from './configuration/configuration-system.js'
+import { makePlan } from './configuration/make-plan.js'
+import { createWorld, runSystems } from './engine.js'
+import { createKeyStore } from './idempotency/key-store.js'
+import { createFairQueue } from './limits/fair-queue.js'
+import { createHedgePolicy } from './limits/hedge-policy.js'
+import { createLinkBudget } from './limits/link-budget.js'
+import { createOutstanding } from './limits/outstanding.js'
+import { createRetryBudget } from './limits/retry-budget.js'
+import { createShiftMeter } from './limits/shift-meter.js'
+import { createSlotLimits } from './limits/slot-limits.js'
+import { createUpstreamSelector } from './limits/upstream-selector.js'
+import { clientOrigin } from './lookup/client-origin.js'
+import { lookup } from './lookup/lookup.js'
+import { createMembershipSystem } from './membership/membership-system.js'
+import { createRouting } from './routing/routing-system.js'
+import { createShutdownSystem } from './shutdown/shutdown-system.js'
 
 /** What an engine needs at its start. */
 export interface EngineOptions {
@@ -85,30 +100,46 @@
   readonly issueKeys: (count: number) => Result<IssuedKeys, QueryError>
   readonly plan: (operations: readonly Operation[]) => Result<Plan, QueryError>
   readonly explain: (requestId: string) => Decision | undefined
+  /** This instance's state for a peer, as the answer to its heartbeat. */
+  readonly heartbeat: () => Heartbeat
   readonly configuration: () => Configuration | undefined
   /** The tables, for status pages and tests. */
   readonly world: World
 }
 
-const LOOKUP_TTL_MS = 5_000
+/** Requests of one service and length class that wait for a slot. More would wait longer than most deadlines. */
+const MAX_QUEUED = 1_024
 
 /** Creates the engine of one entry instance. */
 export function createEngine (options: EngineOptions): Engine {
   const world = createWorld(options.self)
-  const systems = [createBasicSystem(world)]
+  const keys = createKeyStore({ world })
+  const outstanding = createOutstanding()
+  const slots = createSlotLimits(world, outstanding)
+  const routing = createRouting(world, {
+    outstanding,
+    slots,
+    upstreams: createUpstreamSelector({ world, slots, outstanding, seed: options.seed }),
+    shifts: createShiftMeter(world),
+    links: createLinkBudget(world),
+    retries: createRetryBudget(),
+    hedges: createHedgePolicy(),
+    keys,
+    createQueue: () => createFairQueue(MAX_QUEUED),
+    origin: client => clientOrigin(world, client)
+  })
+  const membership = createMembershipSystem(world, { headroom: () => routing.headroom(monotonicNow()) })
+  // Membership reads the target of an attempt before routing ends it; shutdown looks for requests that routing left.
+  const systems = [createConfigurationSystem(world), membership, routing.system, createShutdownSystem(world)]
   return {
     handle: event => runSystems(systems, event, monotonicNow()),
-    lookup: query => {
-      const configuration = world.configuration
-      if (configuration === undefined) return err({ reason: 'no-configuration' })
-      if (!configuration.services.some(service => service.id === query.service)) return err({ reason: 'unknown-service' })
-      const others = [...world.instances.values()].filter(instance => instance.state === 'live')
-      const instances = [options.self, ...others].map(({ id, zone, address }) => ({ id, zone, address }))
-      return ok({ service: query.service, version: configuration.version, ttlMs: LOOKUP_TTL_MS, instances })
-    },
-    issueKeys: () => err({ reason: 'key-table-full' }),
-    plan: () => err({ reason: 'no-configuration' }),
-    explain: () => undefined,
+    lookup: query => lookup(world, query),
+    issueKeys: count => keys.issue(count, monotonicNow()),
+    plan: operations => world.configuration === undefined
+      ? err({ reason: 'no-configuration' })
+      : makePlan(world.configuration, operations),
+    explain: routing.explain,
+    heartbeat: () => membership.heartbeat(monotonicNow()),
     configuration: () => world.configuration,
     world
   }
