Run the property over the life of a request with the real parts too

Change: createRoutingParts is separate from the engine; the property runs with simple and with real parts.

--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -5,26 +5,17 @@
 import type { Command } from './command.js'
 import type { Configuration, Operation } from './configuration.js'
 import type { Event } from './event.js'
+import type { Heartbeat } from './heartbeat.js'
 import type { Reason } from './reason.js'
 import type { Self, World } from './tables.js'
-import type { Heartbeat } from './heartbeat.js'
 import { err } from 'neverthrow'
 import { monotonicNow } from './clock.js'
 import { createConfigurationSystem } from './configuration/configuration-system.js'
 import { makePlan } from './configuration/make-plan.js'
 import { createWorld, runSystems } from './engine.js'
-import { createKeyStore } from './idempotency/key-store.js'
-import { createFairQueue } from './limits/fair-queue.js'
-import { createHedgePolicy } from './limits/hedge-policy.js'
-import { createLinkBudget } from './limits/link-budget.js'
-import { createOutstanding } from './limits/outstanding.js'
-import { createRetryBudget } from './limits/retry-budget.js'
-import { createShiftMeter } from './limits/shift-meter.js'
-import { createSlotLimits } from './limits/slot-limits.js'
-import { createUpstreamSelector } from './limits/upstream-selector.js'
-import { clientOrigin } from './lookup/client-origin.js'
 import { lookup } from './lookup/lookup.js'
 import { createMembershipSystem } from './membership/membership-system.js'
+import { createRoutingParts } from './routing/create-routing-parts.js'
 import { createRouting } from './routing/routing-system.js'
 import { createShutdownSystem } from './shutdown/shutdown-system.js'
 
@@ -107,34 +98,18 @@
   readonly world: World
 }
 
-/** Requests of one service and length class that wait for a slot. More would wait longer than most deadlines. */
-const MAX_QUEUED = 1_024
-
 /** Creates the engine of one entry instance. */
 export function createEngine (options: EngineOptions): Engine {
   const world = createWorld(options.self)
-  const keys = createKeyStore({ world })
-  const outstanding = createOutstanding()
-  const slots = createSlotLimits(world, outstanding)
-  const routing = createRouting(world, {
-    outstanding,
-    slots,
-    upstreams: createUpstreamSelector({ world, slots, outstanding, seed: options.seed }),
-    shifts: createShiftMeter(world),
-    links: createLinkBudget(world),
-    retries: createRetryBudget(),
-    hedges: createHedgePolicy(),
-    keys,
-    createQueue: () => createFairQueue(MAX_QUEUED),
-    origin: client => clientOrigin(world, client)
-  })
+  const parts = createRoutingParts(world, options.seed)
+  const routing = createRouting(world, parts)
   const membership = createMembershipSystem(world, { headroom: () => routing.headroom(monotonicNow()) })
   // Membership reads the target of an attempt before routing ends it; shutdown looks for requests that routing left.
   const systems = [createConfigurationSystem(world), membership, routing.system, createShutdownSystem(world)]
   return {
     handle: event => runSystems(systems, event, monotonicNow()),
     lookup: query => lookup(world, query),
-    issueKeys: count => keys.issue(count, monotonicNow()),
+    issueKeys: count => parts.keys.issue(count, monotonicNow()),
     plan: operations => world.configuration === undefined
       ? err({ reason: 'no-configuration' })
       : makePlan(world.configuration, operations),
--- a/packages/core/tests/routing/request-life.test.ts
+++ b/packages/core/tests/routing/request-life.test.ts
@@ -7,6 +7,11 @@
 import type { Event, RequestArrived } from '../../src/event.js'
 import { runSystems } from '../../src/engine.js'
 import { createRouting } from '../../src/routing/routing-system.js'
+import type { RoutingParts } from '../../src/routing/routing-parts.js'
+import type { Routing } from '../../src/routing/routing-system.js'
+import type { World } from '../../src/tables.js'
+import { createKeyStore } from '../../src/idempotency/key-store.js'
+import { createRoutingParts } from '../../src/routing/create-routing-parts.js'
 import { createSimpleParts, createTestWorld, SLOTS } from './simple-parts.js'
 
 type AttemptState = 'created' | 'written' | 'answered' | 'finished' | 'refused' | 'failed' | 'cancelled'
@@ -46,9 +51,26 @@
   readonly world = createTestWorld(2)
   readonly requests = new Map<string, ModelRequest>()
   readonly attempts: ModelAttempt[] = []
-  private readonly routing = createRouting(this.world, createSimpleParts(this.world, {
-    hedges: { recordLatency: () => {}, delayMs: () => 5, take: () => true }
-  }))
+  private readonly hedges = { recordLatency: () => {}, delayMs: () => 5, take: () => true }
+  private readonly parts: RoutingParts
+  private readonly routing: Routing
+  private readonly keys = new Map<string, string>()
+
+  constructor (create: (world: World) => RoutingParts) {
+    this.parts = { ...create(this.world), hedges: this.hedges }
+    this.routing = createRouting(this.world, this.parts)
+  }
+
+  /** The key that the real key store of the named home issued, or the name itself for the simple store. */
+  keyFor (name: string): string {
+    let key = this.keys.get(name)
+    if (key !== undefined) return key
+    const self = { ...this.world.self, id: name.split('/')[0]! }
+    const store = self.id === this.world.self.id ? this.parts.keys : createKeyStore({ world: { ...this.world, self } })
+    key = store.issue(1, this.now).map(issued => issued.keys[0]!).unwrapOr(name)
+    this.keys.set(name, key)
+    return key
+  }
 
   handle (event: Event): void {
     for (const command of runSystems([this.routing.system], event, this.now)) this.apply(command)
@@ -122,7 +144,11 @@
     const keyOf = (id: string): string | undefined => this.requests.get(id)!.event.key
     const key = keyOf(requestId)
     return this.attempts.filter(attempt => attempt.written && attempt.state !== 'refused' &&
-      (attempt.requestId === requestId || (key?.startsWith('i1/') === true && key === keyOf(attempt.requestId))))
+      (attempt.requestId === requestId || (this.isOwn(key) && key === keyOf(attempt.requestId))))
+  }
+
+  private isOwn (key: string | undefined): boolean {
+    return [...this.keys].some(([name, value]) => value === key && name.startsWith('i1/'))
   }
 
   private start (requestId: string, attempt: { id: string, requestId: string, upstreamId?: string }): void {
@@ -151,7 +177,7 @@
     weight: 4,
     arbitrary: fc.record({ path: fc.constantFrom(...paths), key: fc.constantFrom('i1/a', 'i1/b', 'p2/c'), peer: fc.boolean(), timeoutMs: fc.constantFrom(0, 20, 1_000) })
       .map(({ path, key, peer, timeoutMs }) => (model: Model) => model.arrive({
-        path, timeoutMs, ...(path === '/protected' ? { key } : {}), ...(peer && path !== '/protected' ? { forwarded } : {})
+        path, timeoutMs, ...(path === '/protected' ? { key: model.keyFor(key) } : {}), ...(peer && path !== '/protected' ? { forwarded } : {})
       }))
   },
   { weight: 8, arbitrary: fc.tuple(fc.nat(20), fc.nat(5)).map(([index, choice]) => (model: Model) => model.advance(index, choice)) },
@@ -178,9 +204,12 @@
 )
 
 describe('the life of a request', () => {
-  it('gives each request one honest answer and each upstream no more than its slots', () => {
+  it.each([
+    ['simple', (world: World) => createSimpleParts(world)],
+    ['real', (world: World) => createRoutingParts(world, 1)]
+  ])('gives each request one honest answer and each upstream no more than its slots, with %s parts', (_name, create) => {
     fc.assert(fc.property(fc.array(action, { maxLength: 80 }), actions => {
-      const model = new Model()
+      const model = new Model(create)
       for (const act of actions) act(model)
       model.finish()
       for (const request of model.requests.values()) {
