--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -40,6 +40,8 @@
   readonly timeoutMs?: number
   /** Length of the request body in bytes, when stated. */
   readonly contentLength?: number
+  /** The body is streamed to one attempt, so the request is not sent again after an attempt was written. */
+  readonly singleUseBody?: boolean
   /** Set when a peer forwarded the request. */
   readonly forwarded?: {
     readonly instanceId: string
