Settle writes with the functions of the decision package

Cause: core now exports settleWrite and nextConfiguration, which the platform package had in a small version of its own. Ruled out: keeping both, since the two would differ in which operations they accept. Change: the writer uses core's; a store older than the base and operations that don't apply are rejected by nextConfiguration. Identifiers and drain targets of configuration files follow core's checks; the command line states when a change needs more than MAX_OPERATIONS operations.

--- a/packages/cli/src/commands/operator-command.ts
+++ b/packages/cli/src/commands/operator-command.ts
@@ -4,6 +4,7 @@
 import type { Operation, Plan } from '@arbutustray/core'
 import type { ExitCode } from '../exit-code.js'
 import type { OperatorClient, OperatorError } from '../operator-client.js'
+import { MAX_OPERATIONS } from '@arbutustray/core'
 import { Command, Option } from 'clipanion'
 import { writeFile } from 'node:fs/promises'
 import { EXIT } from '../exit-code.js'
@@ -53,6 +54,10 @@
       this.note('nothing to change')
       return EXIT.ok
     }
+    if (operations.length > MAX_OPERATIONS) {
+      this.note(`the change needs ${operations.length} operations, expected at most ${MAX_OPERATIONS}; apply it in parts`)
+      return EXIT.usage
+    }
     const planned = await this.client().plan(operations)
     if (planned.isErr()) return this.fail(planned.error)
     const plan = planned.value
--- a/packages/platform/src/configuration-writer.ts
+++ b/packages/platform/src/configuration-writer.ts
@@ -2,21 +2,24 @@
  * Commits changes of the configuration by conditional write. A write whose reply was lost is settled by reading
  * back: a caller is told `unknown` only if the store could not be read before the deadline.
  */
-import type { Configuration } from '@arbutustray/core'
+import type { Change, Configuration } from '@arbutustray/core'
 import type { Result } from 'neverthrow'
 import type { ObjectStore } from './object-store.js'
 import type { PlatformError } from './platform-error.js'
-import type { PendingChange } from './settle-write.js'
-import { EMPTY_CONFIGURATION, monotonicNow } from '@arbutustray/core'
+import { EMPTY_CONFIGURATION, monotonicNow, nextConfiguration, problemText, settleWrite } from '@arbutustray/core'
 import { err, ok } from 'neverthrow'
 import { parseConfiguration } from './parse-configuration.js'
 import { pause } from './pause.js'
 import { formatPlatformError } from './platform-error.js'
-import { nextConfiguration, settleWrite } from './settle-write.js'
 
 /** Name of the object that holds the whole configuration. */
 export const CONFIGURATION_OBJECT = 'configuration'
 
+/** A change that was confirmed against a base version. */
+export interface PendingChange extends Omit<Change, 'version'> {
+  readonly baseVersion: number
+}
+
 /** Why a change has no confirmed effect. */
 export type CommitError =
   /** Another change took the version after the base; `configuration` is the newest one. Nothing was written. */
@@ -81,6 +84,8 @@
 
   async function commit (change: PendingChange): Promise<CommitResult> {
     const endAt = monotonicNow() + deadlineMs
+    const { baseVersion, ...rest } = change
+    const numbered: Change = { ...rest, version: baseVersion + 1 }
     // Set once a write was sent whose effect isn't known; from then on only the stored configuration can tell.
     let inDoubt = false
     let reason = 'deadline passed'
@@ -94,22 +99,23 @@
         return read.error.type === 'malformed' ? failed('rejected') : undefined
       }
       const { configuration, objectVersion } = read.value
-      const settlement = settleWrite(configuration, change)
-      if (settlement === 'written') return ok(configuration)
-      if (settlement === 'lost-race') return err({ type: 'conflict', configuration })
-      if (settlement === 'undecidable') {
+      const state = settleWrite(configuration, numbered)
+      if (state === 'applied') return ok(configuration)
+      if (state === 'lost') return err({ type: 'conflict', configuration })
+      if (state === 'unknown') {
         if (!inDoubt) return err({ type: 'conflict', configuration })
         reason = 'the changes after the base version are no longer stored'
         return failed('rejected')
       }
-      if (settlement === 'behind') {
-        reason = `the platform holds version ${configuration.version}, which is older than ${change.baseVersion}`
+      if (monotonicNow() >= endAt) return undefined
+      // Fails if the store is older than the base, because writing would roll the configuration back.
+      const next = nextConfiguration(configuration, numbered)
+      if (next.isErr()) {
+        reason = next.error.map(problemText).join('; ')
         return failed('rejected')
       }
-      if (monotonicNow() >= endAt) return undefined
-      const next = nextConfiguration(configuration, change)
-      const written = await until(endAt, store.put(CONFIGURATION_OBJECT, next, objectVersion))
-      if (written.isOk()) return ok(next)
+      const written = await until(endAt, store.put(CONFIGURATION_OBJECT, next.value, objectVersion))
+      if (written.isOk()) return ok(next.value)
       reason = formatPlatformError(written.error)
       if (written.error.type === 'reply-lost') inDoubt = true
       return written.error.type === 'malformed' ? failed('rejected') : undefined
--- a/packages/platform/tests/configuration-writer.test.ts
+++ b/packages/platform/tests/configuration-writer.test.ts
@@ -4,7 +4,7 @@
 import { EMPTY_CONFIGURATION, RECENT_CHANGES } from '@arbutustray/core'
 import { err, ok } from 'neverthrow'
 import { describe, expect, it, vi } from 'vitest'
-import { CONFIGURATION_OBJECT, createConfigurationWriter, createMemoryPlatform, settleWrite } from '../src/index.js'
+import { CONFIGURATION_OBJECT, createConfigurationWriter, createMemoryPlatform } from '../src/index.js'
 
 const change = (changeId: string, baseVersion = 0, region = changeId) => ({
   baseVersion,
@@ -60,6 +60,13 @@
     expect((await commit(createConfigurationWriter({ store }), 'a'))._unsafeUnwrapErr().type).toBe('unknown')
   })
 
+  it('answers `conflict` for a base whose followers are no longer stored, guarding against a write over them', async () => {
+    const platform = createMemoryPlatform()
+    const recent = Array.from({ length: RECENT_CHANGES }, (_, index) => ({ ...change(`c${index}`), version: index + 2 }))
+    await platform.put(CONFIGURATION_OBJECT, { ...EMPTY_CONFIGURATION, version: RECENT_CHANGES + 1, recent }, 0)
+    expect((await commit(createConfigurationWriter({ store: platform }), 'x', 0))._unsafeUnwrapErr().type).toBe('conflict')
+  })
+
   it('does not write over a store that is older than the base, guarding against a rollback', async () => {
     const result = await commit(createConfigurationWriter({ store: createMemoryPlatform() }), 'a', 5)
     expect(result._unsafeUnwrapErr().type).toBe('rejected')
@@ -98,17 +105,6 @@
   })
 })
 
-describe('settleWrite', () => {
-  it('decides by the change after the base, guarding against a guess once that change is no longer stored', () => {
-    const recent = Array.from({ length: RECENT_CHANGES }, (_, index) => ({ ...change(`c${index}`), version: index + 2 }))
-    const configuration = { ...EMPTY_CONFIGURATION, version: RECENT_CHANGES + 1, recent }
-    expect(settleWrite(configuration, change('x', 1))).toBe('lost-race')
-    expect(settleWrite(configuration, change('x', 0))).toBe('undecidable')
-    expect(settleWrite(configuration, change('x', RECENT_CHANGES + 1))).toBe('open')
-    expect(settleWrite(configuration, change('c3', 0))).toBe('written')
-  })
-})
-
 describe('memory platform', () => {
   it('ends a watch at the next write, guarding against a change that is seen only after the limit', async () => {
     const platform = createMemoryPlatform()
--- a/packages/settings/src/configuration-file.ts
+++ b/packages/settings/src/configuration-file.ts
@@ -42,9 +42,12 @@
 
 const link = z.strictObject({ from: identifier, to: identifier, mbitPerSecond: z.number().positive() }).readonly()
 
+/** Ids of upstreams and entry instances come from the platform, which may use an address. */
+const target = z.string().regex(/^[\x21-\x7e]{1,255}$/, 'expected 1 to 255 visible ASCII characters')
+
 const drain = z.strictObject({
   kind: z.enum(['upstream', 'instance', 'zone']),
-  target: identifier,
+  target,
   service: identifier.optional()
 }).readonly()
 
--- a/packages/settings/src/identifier.ts
+++ b/packages/settings/src/identifier.ts
@@ -6,4 +6,4 @@
 
 /** Schema of an identifier. */
 export const identifier = z.string()
-  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'expected 1 to 64 letters, digits, ".", "_" or "-"')
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'expected 1 to 63 letters, digits, ".", "_" or "-"')
