Follow the daemon's operator API in the command line

Cause: the daemon answers errors with reason and message, and 503 for calls that it can't answer yet. Ruled out: planning against an empty configuration when an instance has none, because the plan would be refused. Change: 503 is unavailable (exit status 4); reason and message are printed.

--- a/packages/cli/src/commands/operator-command.ts
+++ b/packages/cli/src/commands/operator-command.ts
@@ -12,7 +12,7 @@
 import { createOperatorClient } from '../operator-client.js'
 
 const ERROR_EXIT: { readonly [T in OperatorError['type']]: ExitCode } = {
-  unreachable: EXIT.unavailable,
+  unavailable: EXIT.unavailable,
   refused: EXIT.refused,
   unknown: EXIT.unknown
 }
--- a/packages/cli/src/file-operations.ts
+++ b/packages/cli/src/file-operations.ts
@@ -4,9 +4,8 @@
 import type { Operation } from '@arbutustray/core'
 import type { Result } from 'neverthrow'
 import type { OperatorClient, OperatorError } from './operator-client.js'
-import { EMPTY_CONFIGURATION } from '@arbutustray/core'
 import { configurationFile } from '@arbutustray/settings'
-import { err, ok } from 'neverthrow'
+import { err } from 'neverthrow'
 import { difference } from './difference.js'
 import { readChecked } from './read-file.js'
 
@@ -16,8 +15,6 @@
 ): Promise<Result<readonly Operation[], OperatorError | string>> {
   const file = await readChecked(fileName, configurationFile)
   if (file.isErr()) return err(file.error)
-  const current = (await client.configuration())
-    // Before the first change there is no configuration to read.
-    .orElse(error => error.type === 'refused' && error.reason === 'no-configuration' ? ok(EMPTY_CONFIGURATION) : err(error))
+  const current = await client.configuration()
   return current.map(configuration => difference(configuration, file.value))
 }
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -9,7 +9,7 @@
 
 /** Why a call has no result. */
 export type OperatorError =
-  | { readonly type: 'unreachable', readonly reason: string }
+  | { readonly type: 'unavailable', readonly reason: string }
   | { readonly type: 'refused', readonly status: number, readonly reason: string }
   | { readonly type: 'unknown', readonly reason: string }
 
@@ -86,20 +86,22 @@
     return ok({ status: response.statusCode, body: text === '' ? {} : JSON.parse(text) })
   } catch (error) {
     const { code, message } = error as { readonly code?: string, readonly message: string }
-    const type = code !== undefined && NOT_SENT.has(code) ? 'unreachable' : 'unknown'
+    const type = code !== undefined && NOT_SENT.has(code) ? 'unavailable' : 'unknown'
     return err({ type, reason: `${url}: ${message === '' ? code : message}` })
   }
 }
 
 function refusal ({ status, body }: Reply): OperatorError {
-  return { type: 'refused', status, reason: body?.reason ?? body?.error ?? `status ${status}` }
+  const reason = [body?.reason ?? body?.error, body?.message].filter(part => part !== undefined).join(': ')
+  const text = reason === '' ? `status ${status}` : reason
+  return status === 503 ? { type: 'unavailable', reason: text } : { type: 'refused', status, reason: text }
 }
 
-/** A call that changes nothing is `unreachable` when it has no answer, whether or not it was sent. */
+/** A call that changes nothing is `unavailable` when it has no answer, whether or not it was sent. */
 async function read<T> (url: string, token: string | undefined, body?: unknown): Answer<T> {
   const reply = await call(url, token, body)
   return reply
-    .mapErr(error => ({ ...error, type: 'unreachable' as const }))
+    .mapErr(error => ({ ...error, type: 'unavailable' as const }))
     .andThen(answer => answer.status === 200 ? ok(answer.body as T) : err(refusal(answer)))
 }
 
--- a/packages/cli/tests/real/cli.test.ts
+++ b/packages/cli/tests/real/cli.test.ts
@@ -131,5 +131,7 @@
     const result = await run('explain', 'q1')
     expect(result.stdout).toContain('shift-cap: the shift cap of the service keeps the request from moving')
     expect((await run('explain', 'q2')).code).toBe(EXIT.refused)
+    answers['GET /v1/status'] = [503, { reason: 'no-configuration', message: 'text' }]
+    expect(await run('status')).toEqual({ code: EXIT.unavailable, stdout: '', stderr: 'unavailable: no-configuration: text\n' })
   })
 })
