Make slot limits grow and back off, and select upstreams by pace

Change: shares by rendezvous rank, growth while instances are absent, back-off, ramp, takeover of a silent sibling zone; a cumulative sum test on completions marks stragglers, which get one probe at a time; properties for all parts; a trial that compares selectors on virtual time.

--- /dev/null
+++ b/packages/bench/src/selector/main.ts
@@ -0,0 +1,31 @@
+/**
+ * Compares upstream selectors while upstreams are stragglers now and then, on virtual time with fixed seeds. Prints
+ * one line per selector and load: latencies with and without stragglers, and the ratio of the two p99. Run it with
+ * `npm run build && node packages/bench/dist/selector/main.js`.
+ */
+import type { RunResult } from './simulation.js'
+import { simulate } from './simulation.js'
+import { VARIANTS } from './variants.js'
+
+const SPELLS = { share: 0.05, meanMs: 300, slowdown: 8 }
+const NO_SPELLS = { ...SPELLS, share: 0 }
+const LOADS = [0.6, 0.8]
+const REQUESTS = 300_000
+const SEEDS = [11, 12]
+
+const mean = (rows: readonly RunResult[], value: (row: RunResult) => number): number =>
+  rows.reduce((sum, row) => sum + value(row), 0) / rows.length
+const ms = (rows: readonly RunResult[], value: (row: RunResult) => number): string => mean(rows, value).toFixed(1)
+const percent = (rows: readonly RunResult[], value: (row: RunResult) => number): string =>
+  (100 * mean(rows, value)).toFixed(2)
+
+for (const load of LOADS) {
+  for (const [name, variant] of Object.entries(VARIANTS)) {
+    const quiet = SEEDS.map(seed => simulate({ variant, load, spells: NO_SPELLS, requests: REQUESTS, seed }))
+    const slow = SEEDS.map(seed => simulate({ variant, load, spells: SPELLS, requests: REQUESTS, seed }))
+    const ratio = mean(slow, row => row.p99) / mean(quiet, row => row.p99)
+    console.log(`load ${load}  ${name.padEnd(18)}  p50 ${ms(slow, row => row.p50)} ms  p99 ${ms(slow, row => row.p99)} ms  ` +
+      `p99.9 ${ms(slow, row => row.p999)} ms  without stragglers p99 ${ms(quiet, row => row.p99)} ms  ` +
+      `ratio ${ratio.toFixed(3)}  starts on stragglers ${percent(slow, row => row.slowShare)}%  moved ${percent(slow, row => row.movedShare)}%`)
+  }
+}
--- /dev/null
+++ b/packages/bench/src/selector/variants.ts
@@ -0,0 +1,86 @@
+/**
+ * The selectors that the trial compares. All of them see the same free slots; they differ in the choice among them.
+ */
+import type { Outstanding, SelectorTuning, SlotLimits, UpstreamSelector, World } from '@arbutustray/core'
+import { createUpstreamSelector } from '@arbutustray/core'
+
+/** What a variant may use. */
+export interface VariantContext {
+  readonly world: World
+  readonly slots: SlotLimits
+  readonly outstanding: Outstanding
+  readonly seed: number
+  /** Uniform integer below a bound. */
+  readonly below: (bound: number) => number
+  /** Whether an upstream is slow at this moment. Only the bound `informed` uses it. */
+  readonly slow: (upstreamId: string, now: number) => boolean
+}
+
+/** Creates the selector of one entry instance. */
+export type Variant = (context: VariantContext) => UpstreamSelector
+
+type Pick = (free: readonly string[], all: readonly string[], now: number) => string | undefined
+
+function fromPick (context: VariantContext, pick: Pick): UpstreamSelector {
+  const { world, slots, outstanding } = context
+  return {
+    select: (service, zone, _length, exclude, now) => {
+      const all: string[] = []
+      for (const row of world.upstreams.values()) if (row.service === service && row.zone === zone) all.push(row.id)
+      const free = all.filter(id => !exclude.has(id) && outstanding.count(id) < slots.limit(id, now))
+      return free.length === 0 ? undefined : pick(free, all, now)
+    },
+    recordStart: () => {},
+    recordEnd: () => {},
+    expectedServiceMs: () => 20
+  }
+}
+
+function leastOf (context: VariantContext, ids: readonly string[]): string | undefined {
+  const { outstanding, below } = context
+  const least = Math.min(...ids.map(id => outstanding.count(id)))
+  const equal = ids.filter(id => outstanding.count(id) === least)
+  return equal[below(equal.length)]
+}
+
+function roundRobin (context: VariantContext): UpstreamSelector {
+  let next = 0
+  return fromPick(context, (free, all) => {
+    for (let tried = 0; tried < all.length; tried += 1) {
+      const id = all[next % all.length]
+      next += 1
+      if (free.includes(id)) return id
+    }
+    return undefined
+  })
+}
+
+function twoChoices (context: VariantContext): UpstreamSelector {
+  return fromPick(context, free => {
+    const first = context.below(free.length)
+    const second = (first + 1 + context.below(Math.max(1, free.length - 1))) % free.length
+    return leastOf(context, [free[first], free[second]])
+  })
+}
+
+/** Bound: knows which upstreams are slow, and refuses to use them. */
+function informed (context: VariantContext): UpstreamSelector {
+  return fromPick(context, (free, _all, now) => {
+    const fast = free.filter(id => !context.slow(id, now))
+    return fast.length === 0 ? undefined : leastOf(context, fast)
+  })
+}
+
+/** The core's selector with some constants changed. */
+export function expectedWait (tuning?: SelectorTuning): Variant {
+  return ({ world, slots, outstanding, seed }) => createUpstreamSelector({ world, slots, outstanding, seed, tuning })
+}
+
+export const VARIANTS: { readonly [name: string]: Variant } = {
+  random: context => fromPick(context, free => free[context.below(free.length)]),
+  'round robin': roundRobin,
+  'two random choices': twoChoices,
+  'least outstanding': context => fromPick(context, free => leastOf(context, free)),
+  'expected wait': expectedWait(),
+  'informed (bound)': informed
+}
--- /dev/null
+++ b/packages/core/src/limits/straggler-detector.ts
@@ -0,0 +1,100 @@
+/**
+ * Detects upstreams that have become several times slower, from the pace of their completions.
+ *
+ * Each upstream has a score that compares two assumptions by their log-likelihood: service times as usual, and
+ * service times `SLOWDOWN` times longer. Every unit of exposure (one attempt outstanding for one usual service time)
+ * raises the score, every completion lowers it, and it stays between 0 and a cap (the cumulative sum test of Page).
+ * The test uses the attempts that are still outstanding, so it needs no slow completion to notice a slow upstream.
+ */
+import type { LengthClass } from '../configuration.js'
+
+/** Constants of the detector. The defaults were selected with the trial in `packages/bench/src/selector`. */
+export interface StragglerTuning {
+  /** Score at which an upstream becomes a suspect. */
+  readonly suspectAt: number
+  /** Score at or below which a suspect is cleared. */
+  readonly clearAt: number
+  /** Highest score. */
+  readonly cap: number
+  /** Weight of one completion in the moving mean of an upstream's service time. */
+  readonly meanWeight: number
+}
+
+export const STRAGGLER_TUNING: StragglerTuning = { suspectAt: 3, clearAt: 1, cap: 5, meanWeight: 1 / 500 }
+
+/** State of one upstream. Read by the selector, changed only through the functions below. */
+export interface Pace {
+  /** Outstanding attempts by length. */
+  readonly active: { [L in LengthClass]: number }
+  /** Moving mean of the service time by length, in milliseconds; undefined before the first completion. */
+  readonly meanMs: { [L in LengthClass]: number | undefined }
+  score: number
+  suspect: boolean
+  /** Time of the last change to a suspect. */
+  suspectSince: number
+  /** Outstanding attempts that started since then, by length. */
+  readonly probes: { [L in LengthClass]: number }
+  updatedAt: number
+}
+
+const LENGTHS: readonly LengthClass[] = ['short', 'long']
+/** Factor of the alternative assumption. Stragglers of the workloads are about 8 times slower. */
+const SLOWDOWN = 8
+const EXPOSURE_GAIN = 1 - 1 / SLOWDOWN
+const COMPLETION_LOSS = Math.log(SLOWDOWN)
+/** Least mean; services that answer faster than the clock's ticks would divide by zero. */
+const LEAST_MEAN_MS = 0.5
+/** A single sample counts as at most this many times the mean, so that one spell does not change the mean much. */
+const CLIP = 4
+/**
+ * Attempts from before a suspicion stop counting when it has lasted this many service times. An upstream that lost
+ * them would otherwise stay a suspect until their deadlines, although it completes its probes.
+ */
+const OLD_ATTEMPTS_SERVICE_TIMES = 25
+
+/** Creates the state of an upstream that was not used yet. */
+export function createPace (now: number): Pace {
+  return {
+    active: { short: 0, long: 0 },
+    meanMs: { short: undefined, long: undefined },
+    score: 0,
+    suspect: false,
+    suspectSince: -Infinity,
+    probes: { short: 0, long: 0 },
+    updatedAt: now
+  }
+}
+
+/** Adds the exposure since the last update. `usualMs` are the service times for lengths without a mean. */
+export function advancePace (pace: Pace, usualMs: { readonly [L in LengthClass]: number }, tuning: StragglerTuning, now: number): void {
+  const elapsed = now - pace.updatedAt
+  if (elapsed <= 0) return
+  pace.updatedAt = now
+  let exposure = 0
+  for (const length of LENGTHS) {
+    if (pace.active[length] === 0) continue
+    const meanMs = Math.max(LEAST_MEAN_MS, pace.meanMs[length] ?? usualMs[length])
+    const old = pace.suspect && now - pace.suspectSince > OLD_ATTEMPTS_SERVICE_TIMES * meanMs
+    exposure += elapsed / meanMs * (old ? pace.probes[length] : pace.active[length])
+  }
+  pace.score = Math.min(tuning.cap, pace.score + exposure * EXPOSURE_GAIN)
+  if (!pace.suspect && pace.score >= tuning.suspectAt) suspectPace(pace, tuning, now)
+}
+
+/** Counts a completion after `advancePace`. */
+export function completePace (pace: Pace, length: LengthClass, serviceMs: number, usualMs: number, tuning: StragglerTuning): void {
+  const mean = pace.meanMs[length] ?? usualMs
+  pace.meanMs[length] = Math.max(LEAST_MEAN_MS, mean + (Math.min(serviceMs, CLIP * mean) - mean) * tuning.meanWeight)
+  pace.score = Math.max(0, pace.score - COMPLETION_LOSS)
+  if (pace.suspect && pace.score <= tuning.clearAt) pace.suspect = false
+}
+
+/** Marks an upstream as a suspect on other evidence, such as a failed attempt. */
+export function suspectPace (pace: Pace, tuning: StragglerTuning, now: number): void {
+  pace.score = Math.max(pace.score, tuning.suspectAt)
+  if (pace.suspect) return
+  pace.suspect = true
+  pace.suspectSince = now
+  pace.probes.short = 0
+  pace.probes.long = 0
+}
--- /dev/null
+++ b/packages/core/tests/limits/shift-meter.test.ts
@@ -0,0 +1,71 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import type { Rule } from '../../src/configuration.js'
+import type { World } from '../../src/tables.js'
+import { createShiftMeter } from '../../src/limits/shift-meter.js'
+import { configurationOf, worldOf } from './world.js'
+
+const BASE = configurationOf({ z1: 1, z2: 1, z3: 1 })
+const ZONES = BASE.zones.map(zone => zone.id === 'z3' ? { ...zone, region: 'r2' } : zone)
+
+function worldWith (scope: Rule['scope'], shiftCap: number, version = 1): World {
+  return worldOf({ ...BASE, version, zones: ZONES, rules: [{ service: 's', scope, shiftCap, longShare: 0.5 }] })
+}
+
+describe('createShiftMeter', () => {
+  it('keeps the sum over all instances under the cap, guarding against shifts that only add up above it', () => {
+    const step = fc.record({ instance: fc.nat(6), action: fc.constantFrom('request', 'request', 'request', 'move'), to: fc.constantFrom('z2', 'z3'), after: fc.nat(700) })
+    fc.assert(fc.property(fc.array(step, { maxLength: 300 }), fc.constantFrom(0, 0.05, 0.2, 0.29, 0.5, 1), fc.constantFrom<Rule['scope']>('zone', 'region'), (steps, cap, scope) => {
+      const worlds = Array.from({ length: 7 }, (_, index) => worldWith(scope, cap, index + 1))
+      const meters = worlds.map(world => createShiftMeter(world))
+      let now = 0
+      let total = 0
+      let moved = 0
+      for (const { instance, action, to, after } of steps) {
+        now += after
+        if (action === 'request') {
+          total += 1
+          meters[instance].recordRequest('s', 'z1', now)
+        } else if (meters[instance].mayMove('s', 'z1', to, now)) {
+          meters[instance].recordMove('s', 'z1', to, now)
+          if (scope === 'zone' || to === 'z3') moved += 1
+        }
+        worlds[instance].configuration = worldWith(scope, cap, now).configuration
+        expect(moved).toBeLessThanOrEqual(cap * total + 1e-9)
+      }
+    }))
+  })
+
+  it('keeps a window under the cap at every move, guarding against old traffic that is credited to new moves', () => {
+    fc.assert(fc.property(fc.array(fc.record({ move: fc.boolean(), after: fc.nat(3_000) }), { maxLength: 200 }), steps => {
+      const meter = createShiftMeter(worldWith('zone', 0.2))
+      const seen: Array<{ bucket: number, move: boolean }> = []
+      let now = 0
+      for (const { move, after } of steps) {
+        now += after
+        const bucket = Math.floor(now / 1_000)
+        if (move && !meter.mayMove('s', 'z1', 'z2', now)) continue
+        if (move) meter.recordMove('s', 'z1', 'z2', now)
+        else meter.recordRequest('s', 'z1', now)
+        seen.push({ bucket, move })
+        const window = seen.filter(row => row.bucket > bucket - 10)
+        const moves = window.filter(row => row.move).length
+        if (move) expect(moves).toBeLessThanOrEqual(0.2 * (window.length - moves) + 1e-9)
+      }
+    }))
+  })
+
+  it('lets the fifth request move at a cap of 0.2, guarding against a burst allowance and against a cap that is too strict', () => {
+    const meter = createShiftMeter(worldWith('region', 0.2))
+    const may: boolean[] = []
+    for (let count = 0; count < 5; count += 1) {
+      meter.recordRequest('s', 'z1', 0)
+      may.push(meter.mayMove('s', 'z1', 'z3', 0))
+    }
+    expect(may).toEqual([false, false, false, false, true])
+    meter.recordMove('s', 'z1', 'z3', 0)
+    expect(meter.mayMove('s', 'z1', 'z3', 0)).toBe(false)
+    expect(meter.mayMove('s', 'z1', 'z2', 0)).toBe(true)
+    expect(meter.mayMove('unruled', 'z1', 'z3', 0)).toBe(true)
+  })
+})
