Keep the growth of slot limits when a late digest arrives

Cause: a digest that tells of an older sign of life changes heardAt of an instance that stays silent, and the change was taken for a return, so the limits fell back to the share and grew anew. Change: only a sign of life after the absence began counts as a return.

--- a/packages/core/src/limits/zone-presence.ts
+++ b/packages/core/src/limits/zone-presence.ts
@@ -28,7 +28,7 @@
 /** Absences of instances that are no longer in the table are dropped when there are more than this. */
 const PRUNE_AT = 1_000
 
-interface Absence { readonly heardAt: number, readonly since: number }
+interface Absence { readonly since: number }
 
 interface Memo {
   value: Presence
@@ -44,6 +44,11 @@
   return left.length === right.length && left.every((id, index) => id === right[index])
 }
 
+/** A late digest can tell of a sign of life before the absence began; that is no return. */
+function hasReturned (row: Instance, absence: Absence): boolean {
+  return row.heardAt > absence.since
+}
+
 /** Creates the view of one instance. Its start is the first `now` that it is given. */
 export function createZonePresence (world: World, configuration: ConfigurationIndex): ZonePresence {
   const idsOf = createGroupIndex(world.instances, row => row.zone)
@@ -60,9 +65,9 @@
 
   function absenceOf (row: Instance, now: number, grace: number): Absence {
     const known = absences.get(row.id)
-    if (known !== undefined && known.heardAt === row.heardAt) return known
+    if (known !== undefined && !hasReturned(row, known)) return known
     const due = row.heardAt === -Infinity ? grace : row.heardAt + SILENT_AFTER_MS
-    const absence = { heardAt: row.heardAt, since: Math.min(now, due) }
+    const absence = { since: Math.min(now, due) }
     if (absences.size >= PRUNE_AT) {
       for (const id of absences.keys()) if (!world.instances.has(id)) absences.delete(id)
     }
@@ -78,8 +83,9 @@
       const row = world.instances.get(id)
       if (row === undefined || id === world.self.id) continue
       const before = absences.get(id)
-      if (before !== undefined && before.heardAt !== row.heardAt) returns += 1
-      if (isPresent(row, now, grace)) {
+      const isHere = isPresent(row, now, grace)
+      if (before !== undefined && (isHere || hasReturned(row, before))) returns += 1
+      if (isHere) {
         absences.delete(id)
         present.push(id)
       } else absent.push(row)
--- a/packages/core/tests/limits/slot-limits.test.ts
+++ b/packages/core/tests/limits/slot-limits.test.ts
@@ -70,6 +70,8 @@
     expect(limits.limit('u1', 20_000)).toBe(share)
     addInstance(world, 'i2', { state: 'silent', heardAt: 20_001 })
     expect(limits.limit('u1', 23_600)).toBe(share + 1)
+    addInstance(world, 'i2', { state: 'silent', heardAt: 20_500 })
+    expect(limits.limit('u1', 24_100)).toBe(share + 2)
   })
 
   it('backs off after a refusal and stops growth for 2 s, guarding against an upstream that keeps refusing', () => {
