--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -105,6 +105,7 @@
   const parts = createRoutingParts(world, options.seed)
   const routing = createRouting(world, parts)
   const membership = createMembershipSystem(world, { headroom: () => routing.headroom(monotonicNow()) })
+  const lookup = createLookup(world)
   // Membership reads the target of an attempt before routing ends it; shutdown looks for requests that routing left.
   const systems = [createConfigurationSystem(world), membership, routing.system, createShutdownSystem(world)]
   return {
