Index entry instances for look-ups and pack client blocks into numbers

Cause: measured with 860,000 blocks on a busy machine, the build with bigint took 5.2 s and blocked the loop, and look-ups among 3,700 instances did not end within 10 minutes because each one sorted all instances.

Ruled out: an index that is rebuilt by time (stale answers), and one by every heartbeat (about 100 rebuilds a second at the design size).

--- a/packages/core/src/engine.ts
+++ b/packages/core/src/engine.ts
@@ -5,6 +5,7 @@
 import type { Command } from './command.js'
 import type { Event } from './event.js'
 import type { Self, World } from './tables.js'
+import { InstanceMap } from './instance-map.js'
 
 /** Handles one type of event. `now` is the monotonic time read for this event. */
 export type Handler<E extends Event> = (event: E, now: number) => readonly Command[]
@@ -23,7 +24,7 @@
   return {
     self,
     configuration: undefined,
-    instances: new Map(),
+    instances: new InstanceMap(),
     upstreams: new Map(),
     requests: new Map(),
     attempts: new Map(),
--- a/packages/core/src/lookup/address.ts
+++ b/packages/core/src/lookup/address.ts
@@ -32,8 +32,10 @@
   const address = parseAddress(addressText)
   const prefix = Number(prefixText)
   if (address === undefined || prefix > MAX_PREFIX[address.family]) return undefined
-  const size = 2n ** BigInt(MAX_PREFIX[address.family] - prefix)
-  return BigInt(address.value) % size === 0n ? { ...address, prefix } : undefined
+  if (address.family === 4) {
+    return address.value % 2 ** (MAX_PREFIX[4] - prefix) === 0 ? { family: 4, value: address.value, prefix } : undefined
+  }
+  return address.value % (1n << BigInt(MAX_PREFIX[6] - prefix)) === 0n ? { ...address, prefix } : undefined
 }
 
 function networkPart (text: string): bigint {
--- a/packages/core/src/lookup/block-table.ts
+++ b/packages/core/src/lookup/block-table.ts
@@ -3,7 +3,6 @@
  * the longest prefix with one binary search. A range is its first address and its owner and reaches to the next
  * range: 8 bytes for IPv4, 12 for IPv6. Ranges without an owner fill the gaps.
  */
-import type { Block } from './address.js'
 import { MAX_PREFIX, parseAddress, parseBlock } from './address.js'
 
 /** What a client block says about its clients. */
@@ -25,64 +24,83 @@
 
 /** Collects blocks, one object of the platform after the other, without holding all their texts. */
 export interface BlockTableBuilder {
-  /** Returns false, and adds nothing, if the block is malformed. Of two equal blocks the first one added counts. */
+  /**
+   * Returns false, and adds nothing, if the block is malformed or has one origin too many. Of two equal blocks the one
+   * whose origin was added first counts.
+   */
   readonly add: (cidr: string, origin: Origin) => boolean
   readonly build: () => BlockTable
 }
 
-/** A block as one integer that sorts by first address, then prefix length, then order of adding. */
-const OWNER_BITS = 20n
-const PREFIX_BITS = 7n
-const OWNER_MASK = (1n << OWNER_BITS) - 1n
-const PREFIX_MASK = (1n << PREFIX_BITS) - 1n
+/**
+ * An IPv4 block is packed into the 53 bits that a number holds exactly: 32 for the address, 6 for the prefix length, 15
+ * for the owner. Numbers sort natively; with `bigint` the build of 860,000 blocks took 5 s.
+ */
+const OWNER_RANGE = 2 ** 15
+const PREFIX_RANGE = 2 ** 6
 /** Distinct pairs of zone and tenant. Owner 0 stands for none. */
-const MAX_OWNERS = Number(OWNER_MASK)
+const MAX_OWNERS = OWNER_RANGE - 1
 const INITIAL_BLOCKS = 1_024
 
+type Starts = Uint32Array | BigUint64Array
+
 interface Ranges {
-  readonly starts: Uint32Array | BigUint64Array
+  readonly starts: Starts
   readonly owners: Uint32Array
 }
 
+interface RangeList<A> {
+  readonly limit: A
+  readonly begin: (start: A, owner: number) => void
+  readonly end: () => Ranges
+}
+
+interface OwnedBlock<A> {
+  readonly start: A
+  readonly prefix: number
+  readonly owner: number
+}
+
 /** Creates an empty builder. */
 export function createBlockTableBuilder (): BlockTableBuilder {
   const origins: Origin[] = [{ zone: '', tenant: '' }]
-  const ownerByName = new Map<string, number>()
-  let packed4 = new BigUint64Array(INITIAL_BLOCKS)
+  const owners = new Map<string, Map<string, number>>()
+  let packed4 = new Float64Array(INITIAL_BLOCKS)
   let size4 = 0
-  const packed6: bigint[] = []
+  const blocks6: Array<OwnedBlock<bigint>> = []
 
   function ownerOf (origin: Origin): number {
-    const name = JSON.stringify([origin.zone, origin.tenant])
-    const known = ownerByName.get(name)
+    const tenants = owners.get(origin.zone) ?? new Map<string, number>()
+    const known = tenants.get(origin.tenant)
     if (known !== undefined) return known
     const owner = origins.push({ zone: origin.zone, tenant: origin.tenant }) - 1
-    ownerByName.set(name, owner)
+    owners.set(origin.zone, tenants.set(origin.tenant, owner))
     return owner
   }
 
   function add (cidr: string, origin: Origin): boolean {
     const block = parseBlock(cidr)
     if (block === undefined || origins.length > MAX_OWNERS) return false
-    const packed = pack(block, ownerOf(origin))
-    if (block.family === 6) packed6.push(packed)
-    else {
-      if (size4 === packed4.length) {
-        const grown = new BigUint64Array(size4 * 2)
-        grown.set(packed4)
-        packed4 = grown
-      }
-      packed4[size4] = packed
-      size4 += 1
-    }
+    const owner = ownerOf(origin)
+    if (block.family === 6) blocks6.push({ start: block.value, prefix: block.prefix, owner })
+    else add4((block.value * PREFIX_RANGE + block.prefix) * OWNER_RANGE + owner)
     return true
   }
 
+  function add4 (packed: number): void {
+    if (size4 === packed4.length) {
+      const grown = new Float64Array(size4 * 2)
+      grown.set(packed4)
+      packed4 = grown
+    }
+    packed4[size4] = packed
+    size4 += 1
+  }
+
   function build (): BlockTable {
-    const sorted4 = packed4.slice(0, size4).sort()
-    const sorted6 = [...packed6].sort((a, b) => (a < b ? -1 : a > b ? 1 : 0))
-    const ranges4 = flatten(sorted4, 4)
-    const ranges6 = flatten(sorted6, 6)
+    const ranges4 = flatten(unpack(packed4.slice(0, size4).sort()), createRanges(new Uint32Array(size4 * 2), 2 ** 32), endOf4)
+    const sorted6 = blocks6.sort((a, b) => (a.start === b.start ? a.prefix - b.prefix || a.owner - b.owner : a.start < b.start ? -1 : 1))
+    const ranges6 = flatten(sorted6, createRanges(new BigUint64Array(sorted6.length * 2), 1n << 64n), endOf6)
     return {
       find: text => {
         const address = parseAddress(text)
@@ -90,7 +108,7 @@
         const owner = ownerAt(address.family === 4 ? ranges4 : ranges6, address.value)
         return owner === 0 ? undefined : origins[owner]
       },
-      size: size4 + packed6.length,
+      size: size4 + blocks6.length,
       ranges: ranges4.owners.length + ranges6.owners.length,
       bytes: [ranges4, ranges6].reduce((sum, { starts, owners }) => sum + starts.byteLength + owners.byteLength, 0)
     }
@@ -99,27 +117,38 @@
   return { add, build }
 }
 
-function pack (block: Block, owner: number): bigint {
-  return (((BigInt(block.value) << PREFIX_BITS) | BigInt(block.prefix)) << OWNER_BITS) | BigInt(owner)
+function * unpack (sorted: Float64Array): Generator<OwnedBlock<number>> {
+  for (const packed of sorted) {
+    const key = Math.floor(packed / OWNER_RANGE)
+    yield { start: Math.floor(key / PREFIX_RANGE), prefix: key % PREFIX_RANGE, owner: packed % OWNER_RANGE }
+  }
 }
 
-/** Growing ranges in order of their first address. Typed arrays keep the build's memory near that of the table. */
-function createRanges (family: 4 | 6, capacity: number): { begin: (start: bigint, owner: number) => void, end: () => Ranges } {
-  const starts = family === 4 ? new Uint32Array(capacity) : new BigUint64Array(capacity)
-  const owners = new Uint32Array(capacity)
-  const limit = 1n << BigInt(MAX_PREFIX[family])
+function endOf4 ({ start, prefix }: OwnedBlock<number>): number {
+  return start + 2 ** (MAX_PREFIX[4] - prefix)
+}
+
+function endOf6 ({ start, prefix }: OwnedBlock<bigint>): bigint {
+  return start + (1n << BigInt(MAX_PREFIX[6] - prefix))
+}
+
+/** Collects ranges in order of their first address. Each block begins one and ends with the begin of at most one. */
+function createRanges<A extends number | bigint> (starts: Starts, limit: A): RangeList<A> {
+  const owners = new Uint32Array(starts.length)
   let size = 0
-  let last = -1n
+  let last: A | undefined
   return {
+    limit,
     begin: (start, owner) => {
+      // The end of the address space begins no range.
       if (start === limit) return
       if (last === start) size -= 1
       last = start
       if ((size === 0 ? 0 : owners[size - 1]) === owner) {
-        last = -1n
+        last = undefined
         return
       }
-      starts[size] = family === 4 ? Number(start) : start
+      starts[size] = start
       owners[size] = owner
       size += 1
     },
@@ -128,29 +157,25 @@
 }
 
 /** Walks the blocks in order and keeps the stack of those that contain the current address. */
-function flatten (sorted: BigUint64Array | readonly bigint[], family: 4 | 6): Ranges {
-  // Each block begins one range and ends with the begin of at most one other.
-  const ranges = createRanges(family, sorted.length * 2)
-  const open: Array<{ readonly end: bigint, readonly owner: number }> = []
-  function closeUpTo (address: bigint): void {
+function flatten<A extends number | bigint> (
+  sorted: Iterable<OwnedBlock<A>>, ranges: RangeList<A>, endOf: (block: OwnedBlock<A>) => A
+): Ranges {
+  const open: Array<{ readonly end: A, readonly owner: number }> = []
+  function closeUpTo (address: A): void {
     for (let top = open.at(-1); top !== undefined && top.end <= address; top = open.at(-1)) {
       open.pop()
       ranges.begin(top.end, open.at(-1)?.owner ?? 0)
     }
   }
-  const bits = BigInt(MAX_PREFIX[family])
-  let previous = -1n
-  for (const packed of sorted) {
-    const key = packed >> OWNER_BITS
-    if (key === previous) continue
-    previous = key
-    const start = key >> PREFIX_BITS
-    const owner = Number(packed & OWNER_MASK)
-    closeUpTo(start)
-    open.push({ end: start + (1n << (bits - (key & PREFIX_MASK))), owner })
-    ranges.begin(start, owner)
+  let previous: OwnedBlock<A> | undefined
+  for (const block of sorted) {
+    if (previous?.start === block.start && previous.prefix === block.prefix) continue
+    previous = block
+    closeUpTo(block.start)
+    open.push({ end: endOf(block), owner: block.owner })
+    ranges.begin(block.start, block.owner)
   }
-  closeUpTo(1n << bits)
+  closeUpTo(ranges.limit)
   return ranges.end()
 }
 
--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -3,6 +3,7 @@
  */
 import type { Configuration, LengthClass, RequestKind } from './configuration.js'
 import type { Headroom } from './heartbeat.js'
+import type { InstanceMap } from './instance-map.js'
 import type { BlockTable } from './lookup/block-table.js'
 
 /** Another entry instance. */
@@ -71,7 +72,7 @@
   readonly self: Self
   /** Present once a configuration was received. */
   configuration: Configuration | undefined
-  readonly instances: Map<string, Instance>
+  readonly instances: InstanceMap
   readonly upstreams: Map<string, Upstream>
   readonly requests: Map<string, Request>
   readonly attempts: Map<string, Attempt>
