--- a/packages/bench/src/slopes/slopes.ts
+++ b/packages/bench/src/slopes/slopes.ts
@@ -5,7 +5,7 @@
 import type { Point, Slope } from './measure.js'
 import { create, toBinary } from '@bufbuild/protobuf'
 import {
-  applyChanges, createBlockTableBuilder, createConfigurationSystem, createMembershipSystem, createLookup, createWorld
+  applyChanges, createBlockTableBuilder, createConfigurationSystem, createMembershipSystem, createWorld, lookup
 } from '@arbutustray/core'
 import { HeartbeatSchema } from '@arbutustray/protocol'
 import { createRandom } from '../policy/random.js'
@@ -191,9 +191,8 @@
   for (let index = 0; index < units; index += 1) hear(index)
   const random = createRandom(SEED)
   const clients = Array.from({ length: 4_096 }, () => createSampleBlock(random).replace('.0/24', '.7'))
-  const lookup = createLookup(world)
   const lookups = microsecondsPerCall(index => {
-    lookup({ service: 'service-0', client: clients[index % clients.length]! }, performance.now())
+    lookup(world, { service: 'service-0', client: clients[index % clients.length]! })
   })
   return { units, bytes, list, listBytes: JSON.stringify(entries).length, membership: second, lookup: lookups }
 }
