Add the demo

Ruled out: counting answers only, which would not show a request that ran although it was refused, or ran twice.

--- /dev/null
+++ b/packages/standins/src/demo/caller.ts
@@ -0,0 +1,114 @@
+/**
+ * A caller of the demo: looks up an entry instance, sends a request and judges the answer.
+ */
+import type { LookupAnswer } from '@arbutustray/core'
+import type { EntryInstance } from './topology.js'
+import { createHash } from 'node:crypto'
+import { Agent, request } from 'undici'
+
+/** `whole`: the upstream's complete answer to this request. `refused`: not run. `lost`: anything else. */
+export type End = 'whole' | 'refused' | 'lost'
+
+/** A request of the demo. */
+export interface Order {
+  readonly kind: string
+  readonly service: string
+  readonly method: 'GET' | 'POST' | 'PUT'
+  /** Path below the service. It is unique, so that the run logs show what became of the request. */
+  readonly path: string
+  readonly body?: Buffer
+  /** The request is sent with an idempotency key; requests with the same path share one. */
+  readonly key?: string
+  /** Service time of the stand-in, instead of a random one. */
+  readonly serviceMs?: number
+}
+
+/** What became of a request. */
+export interface Sample {
+  readonly order: Order
+  readonly end: End
+  readonly detail: string
+  readonly ms: number
+}
+
+/** A caller in one zone. */
+export interface Caller {
+  readonly zone: string
+  readonly keys: (service: string, count: number) => Promise<readonly string[]>
+  readonly send: (order: Order) => Promise<Sample>
+}
+
+const ANSWER_LIMIT_MS = 20_000
+const agent = new Agent({ connections: 256 })
+
+/** Closes the callers' connections. */
+export async function closeCallers (): Promise<void> {
+  await agent.close()
+}
+
+async function answerOf (url: string, order: Order, requestId: string): Promise<{ readonly end: End, readonly detail: string }> {
+  const response = await request(url, {
+    method: order.method,
+    headers: {
+      'x-request-id': requestId,
+      ...(order.key === undefined ? {} : { 'idempotency-key': order.key }),
+      ...(order.serviceMs === undefined ? {} : { 'x-service-ms': `${order.serviceMs}` })
+    },
+    body: order.body ?? null,
+    dispatcher: agent,
+    signal: AbortSignal.timeout(ANSWER_LIMIT_MS)
+  })
+  const text = await response.body.text()
+  const { 'arbutustray-outcome': outcome, 'arbutustray-reason': reason, 'x-request-id': echoed } = response.headers
+  const detail = `${response.statusCode} ${String(outcome)} ${String(reason)}`
+  if (echoed !== requestId) return { end: 'lost', detail: `${detail}: answer to ${String(echoed)}` }
+  if (outcome === 'not-run') return { end: 'refused', detail }
+  if (outcome !== 'served' || response.statusCode !== 200) return { end: 'lost', detail }
+  const read = JSON.parse(text)
+  const body = order.body ?? Buffer.alloc(0)
+  const whole = read.bytes === body.length && read.sha256 === createHash('sha256').update(body).digest('hex')
+  return { end: whole ? 'whole' : 'lost', detail: whole ? detail : `${detail}: body differs` }
+}
+
+/** Creates a caller that knows one entry instance of its zone. */
+export function createCaller (instance: EntryInstance): Caller {
+  const answers = new Map<string, { readonly answer: LookupAnswer, readonly expiresAt: number }>()
+  let requests = 0
+
+  async function lookup (service: string): Promise<string> {
+    const cached = answers.get(service)
+    if (cached !== undefined && performance.now() < cached.expiresAt) return cached.answer.instances[0]?.address ?? ''
+    const response = await request(`http://${instance.caller}/v1/lookup?service=${service}`, { dispatcher: agent })
+    const answer = await response.body.json() as LookupAnswer
+    const best = answer.instances?.[0]
+    if (best === undefined) throw new Error(`look-up of ${service} at ${instance.id}: ${JSON.stringify(answer)}`)
+    answers.set(service, { answer, expiresAt: performance.now() + answer.ttlMs })
+    return best.address
+  }
+
+  async function send (order: Order): Promise<Sample> {
+    const startedAt = performance.now()
+    requests += 1
+    const requestId = `${instance.id}-${requests}`
+    const result = await lookup(order.service)
+      .then(async address => await answerOf(`http://${address}/v1/services/${order.service}${order.path}`, order, requestId))
+      .catch(error => ({ end: 'lost' as const, detail: String(error) }))
+    return { order, ...result, ms: performance.now() - startedAt }
+  }
+
+  return {
+    zone: instance.zone,
+    send,
+    keys: async (service, count) => {
+      const response = await request(`http://${instance.caller}/v1/keys`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ service, count }),
+        dispatcher: agent
+      })
+      const text = await response.body.text()
+      if (response.statusCode !== 200) throw new Error(`keys at ${instance.id}: ${response.statusCode} ${text}`)
+      return JSON.parse(text).keys
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/demo/children.ts
@@ -0,0 +1,95 @@
+/**
+ * Child processes of the demo. Every child ends with the demo, on whatever way out.
+ */
+import type { ChildProcess } from 'node:child_process'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+
+/** A running child. */
+export interface Child {
+  readonly name: string
+  readonly process: ChildProcess
+  /** Newest lines of its output, for the report of a failure. */
+  readonly lines: readonly string[]
+  /** Next line of the standard output. Rejects if the process ends first. */
+  readonly nextLine: () => Promise<string>
+}
+
+/** How a child ended. */
+export interface End {
+  readonly name: string
+  readonly code: number | null
+  readonly ms: number
+}
+
+/** Starts and ends children. */
+export interface Children {
+  readonly start: (name: string, script: string, args: readonly string[]) => Child
+  /** Sends SIGTERM to the children and waits; a child that is still running after the limit is killed. */
+  readonly stop: (children: readonly Child[], limitMs: number) => Promise<readonly End[]>
+  readonly killAll: () => void
+  readonly all: () => readonly Child[]
+}
+
+const KEPT_LINES = 40
+
+function collectLines (process: ChildProcess): { readonly lines: readonly string[], readonly nextLine: () => Promise<string> } {
+  const lines: string[] = []
+  const waiting: Array<(line: string) => void> = []
+  const keep = (line: string): void => {
+    lines.push(line)
+    if (lines.length > KEPT_LINES) lines.shift()
+  }
+  if (process.stderr !== null) createInterface({ input: process.stderr }).on('line', keep)
+  if (process.stdout !== null) {
+    createInterface({ input: process.stdout }).on('line', line => {
+      keep(line)
+      waiting.shift()?.(line)
+    })
+  }
+  return {
+    lines,
+    nextLine: async () => await new Promise((resolve, reject) => {
+      waiting.push(resolve)
+      process.once('exit', code => reject(new Error(`ended with ${code}:\n${lines.join('\n')}`)))
+    })
+  }
+}
+
+/** Creates the set of children and ties it to this process's end. */
+export function createChildren (): Children {
+  const children: Child[] = []
+
+  function start (name: string, script: string, args: readonly string[]): Child {
+    const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const started: Child = { name, process: child, ...collectLines(child) }
+    children.push(started)
+    return started
+  }
+
+  async function stopOne ({ name, process: child }: Child, limitMs: number): Promise<End> {
+    const startedAt = performance.now()
+    if (child.exitCode === null && child.signalCode === null) {
+      const exit = once(child, 'exit')
+      child.kill('SIGTERM')
+      const kill = setTimeout(() => child.kill('SIGKILL'), limitMs)
+      await exit
+      clearTimeout(kill)
+    }
+    return { name, code: child.exitCode, ms: performance.now() - startedAt }
+  }
+
+  function killAll (): void {
+    for (const { process: child } of children) if (child.exitCode === null) child.kill('SIGKILL')
+  }
+
+  process.once('exit', killAll)
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) process.once(signal, () => process.exit(1))
+  return {
+    start,
+    stop: async (stopped, limitMs) => await Promise.all(stopped.map(async child => await stopOne(child, limitMs))),
+    killAll,
+    all: () => children
+  }
+}
--- /dev/null
+++ b/packages/standins/src/demo/main.ts
@@ -0,0 +1,172 @@
+/**
+ * `npm run demo`: the association on this machine. A platform stand-in, two processes with its 47 upstreams and seven
+ * entry instances serve callers of all six zones while an upstream is drained; then all stop gracefully, and the
+ * upstreams' run logs are compared with what the callers were told. Exits with 0 if no request was lost and no
+ * guarantee broke.
+ */
+import type { ListedInstance } from '@arbutustray/core'
+import type { Run } from '../upstream/run-log.js'
+import type { Caller, Sample } from './caller.js'
+import type { Child } from './children.js'
+import type { EntryInstance } from './topology.js'
+import type { ConfirmedDrain } from './verify.js'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { request } from 'undici'
+import { closeCallers, createCaller } from './caller.js'
+import { createChildren } from './children.js'
+import { change, createCall, waitUntil } from './operator.js'
+import { formatFailures, formatReport, formatSummary } from './report.js'
+import { creatingOperations, entryInstances, listEntry, readConfiguration, upstreamSpecs } from './topology.js'
+import { longUpload, sendTraffic } from './traffic.js'
+import { findBreaches } from './verify.js'
+
+const TRAFFIC_MS = 7_000
+const DRAIN_AFTER_MS = 2_000
+/** Guarantee 6. */
+const DRAIN_BOUND_MS = 3_000
+const LONG_SERVICE_MS = 3_000
+const START_LIMIT_MS = 10_000
+/** Guarantee 8 at the design size. */
+const CONFIGURATION_LIMIT_MS = 9_000
+/** A planned stop takes 10 s. */
+const STOP_LIMIT_MS = 20_000
+const TOKEN = 'demo-operator-token'
+
+const startedAt = performance.now()
+const children = createChildren()
+const settingsDirectory = mkdtempSync(join(tmpdir(), 'arbutustray-demo-'))
+process.once('exit', () => rmSync(settingsDirectory, { recursive: true, force: true }))
+
+function say (text: string): void {
+  console.log(`${((performance.now() - startedAt) / 1_000).toFixed(1).padStart(5)} s  ${text}`)
+}
+
+function script (path: string): string {
+  return fileURLToPath(new URL(path, import.meta.url))
+}
+
+async function startStandin (name: string, path: string, args: readonly string[] = []): Promise<{ readonly child: Child, readonly ready: any }> {
+  const child = children.start(name, script(path), args)
+  return { child, ready: JSON.parse(await child.nextLine()) }
+}
+
+function startEntry (instance: EntryInstance, platformUrl: string): Child {
+  const fileName = join(settingsDirectory, `${instance.id}.json`)
+  writeFileSync(fileName, JSON.stringify({
+    instanceId: instance.id,
+    zone: instance.zone,
+    callerAddress: instance.caller,
+    operatorAddress: instance.operator,
+    peerAddress: instance.peer,
+    platformUrl,
+    peerToken: 'demo-peer-token',
+    operatorToken: TOKEN,
+    logLevel: 'warn'
+  }))
+  return children.start(instance.id, script('../../../entry/dist/main.js'), [fileName])
+}
+
+async function send (url: string, method: 'GET' | 'PUT' | 'POST', body?: unknown): Promise<any> {
+  const response = await request(url, { method, body: body === undefined ? null : JSON.stringify(body) })
+  if (response.statusCode !== 200) throw new Error(`${method} ${url}: ${response.statusCode}`)
+  return await response.body.json()
+}
+
+const call = createCall(TOKEN)
+
+async function waitForVersion (instances: readonly EntryInstance[], version: number): Promise<number> {
+  return await waitUntil(`version ${version} everywhere`, CONFIGURATION_LIMIT_MS, async () => {
+    const versions = await Promise.all(instances.map(async instance => (await call(instance, '/v1/status')).version))
+    return versions.every(found => found >= version)
+  })
+}
+
+/** Drains an upstream while requests run, and stops it once it must have no work left. */
+async function drainUpstream (instances: readonly EntryInstance[], upstream: string, controlUrl: string): Promise<ConfirmedDrain> {
+  await sleep(DRAIN_AFTER_MS)
+  const operator = instances.at(-1) as EntryInstance
+  const { plan, version } = await change(call, operator, [{ table: 'drains', put: { kind: 'upstream', target: upstream } }], 'maintenance')
+  const confirmedAt = Date.now()
+  const ms = await waitForVersion(instances, version)
+  say(`drain of ${upstream} confirmed as version ${version} with ${plan.moves.length} moves, in force after ${ms.toFixed(0)} ms`)
+  await sleep(DRAIN_BOUND_MS)
+  await send(`${controlUrl}/stop`, 'POST', { id: upstream })
+  say(`${upstream} stopped`)
+  return { upstream, confirmedAt, boundMs: DRAIN_BOUND_MS }
+}
+
+/** Stops the entry instances while each zone has a long upload in flight. */
+async function stopEntries (entries: readonly Child[], callers: readonly Caller[]): Promise<{ readonly samples: readonly Sample[], readonly breaches: readonly string[] }> {
+  const uploads = callers.map(async (caller, index) => await caller.send(longUpload(caller.zone, index, LONG_SERVICE_MS)))
+  await sleep(LONG_SERVICE_MS / 2)
+  const ends = await children.stop(entries, STOP_LIMIT_MS)
+  say(`entry instances stopped after ${(Math.max(...ends.map(({ ms }) => ms)) / 1_000).toFixed(1)} s`)
+  const failed = ends.filter(({ code }) => code !== 0)
+  return { samples: await Promise.all(uploads), breaches: failed.map(({ name, code }) => `${name} ended with ${code}`) }
+}
+
+async function run (): Promise<boolean> {
+  const file = readConfiguration()
+  const zones = (file.zones ?? []).map(zone => zone.id)
+  const services = (file.services ?? []).map(service => service.id)
+  const [platform, ...hosts] = await Promise.all([
+    startStandin('platform', '../platform/main.js'),
+    ...services.map(async service =>
+      await startStandin(`${service} upstreams`, '../upstream/main.js', [JSON.stringify(upstreamSpecs(service, zones))]))
+  ])
+  const upstreams: readonly ListedInstance[] = hosts.flatMap(({ ready }) => ready.upstreams)
+  const instances = await entryInstances(file)
+  await send(`${platform.ready.url}/control/instances`, 'PUT', [...upstreams, ...instances.map(listEntry)])
+  const entries = instances.map(instance => startEntry(instance, platform.ready.url))
+  await waitUntil('entry instances ready', START_LIMIT_MS, async () =>
+    (await Promise.all(instances.map(async instance => await call(instance, '/health')))).length === instances.length)
+  say(`${instances.length} entry instances ready, ${upstreams.length} upstreams listed`)
+
+  const [first] = instances
+  if (first === undefined) throw new Error('no entry instances')
+  const { version } = await change(call, first, creatingOperations(file), 'first configuration')
+  say(`configuration confirmed as version ${version}, in force after ${(await waitForVersion(instances, version)).toFixed(0)} ms`)
+  // Callers may be told of an instance only after peers have heard it.
+  await waitUntil('all upstreams and peers known', START_LIMIT_MS, async () => {
+    const states = await Promise.all(instances.map(async instance => await call(instance, '/v1/status')))
+    return states.every(state => state.upstreams.length === upstreams.length && state.instances.length >= instances.length - 1)
+  })
+
+  const callers = zones.map(zone => createCaller(instances.find(instance => instance.zone === zone) ?? first))
+  const drained = upstreams.find(upstream => upstream.service === services[0])
+  const [traffic, drain] = await Promise.all([
+    sendTraffic(callers, TRAFFIC_MS),
+    drainUpstream(instances, drained?.id ?? '', hosts[0]?.ready.controlUrl)
+  ])
+  say(`${traffic.length} requests answered`)
+  const stopped = await stopEntries(entries, callers)
+  const samples = [...traffic, ...stopped.samples]
+  const runs: readonly Run[] = (await Promise.all(hosts.map(async ({ ready }) => await send(`${ready.controlUrl}/runs`, 'GET')))).flat()
+  const ends = await children.stop([platform.child, ...hosts.map(({ child }) => child)], STOP_LIMIT_MS)
+  await closeCallers()
+
+  const breaches = [
+    ...stopped.breaches,
+    ...ends.filter(({ code }) => code !== 0).map(({ name, code }) => `${name} ended with ${code}`),
+    ...findBreaches(samples, runs, drain)
+  ]
+  console.log(`\n${formatReport(samples)}\n`)
+  for (const line of formatFailures(samples)) console.log(line)
+  for (const breach of breaches) console.log(`broken: ${breach}`)
+  console.log(`${runs.length} runs at the upstreams, ${breaches.length} broken guarantees`)
+  console.log(formatSummary(samples))
+  return breaches.length === 0 && samples.every(({ end }) => end !== 'lost')
+}
+
+try {
+  process.exitCode = await run() ? 0 : 1
+} catch (error) {
+  console.error(error)
+  for (const child of children.all()) for (const line of child.lines.slice(-5)) console.error(`${child.name}: ${line.slice(0, 300)}`)
+  process.exitCode = 1
+}
+children.killAll()
--- /dev/null
+++ b/packages/standins/src/demo/operator.ts
@@ -0,0 +1,55 @@
+/**
+ * The operator's side of the demo: plan, confirmation and status through the operator ports.
+ */
+import type { Operation, Plan } from '@arbutustray/core'
+import type { EntryInstance } from './topology.js'
+import { randomUUID } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+
+/** Sends a call with the operator's token; throws unless it is answered 200. */
+export type Call = (instance: EntryInstance, path: string, body?: unknown) => Promise<any>
+
+const POLL_MS = 25
+
+/** Creates the function that calls operator ports. */
+export function createCall (token: string): Call {
+  return async (instance, path, body) => {
+    const response = await request(`http://${instance.operator}${path}`, {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
+      body: body === undefined ? null : JSON.stringify(body)
+    })
+    const text = await response.body.text()
+    if (response.statusCode !== 200) throw new Error(`${path} at ${instance.id}: ${response.statusCode} ${text}`)
+    return JSON.parse(text)
+  }
+}
+
+/** Repeats a check until it holds; a check that throws doesn't hold yet. Returns the time that it took. */
+export async function waitUntil (what: string, limitMs: number, check: () => Promise<boolean>): Promise<number> {
+  const startedAt = performance.now()
+  let last = ''
+  for (;;) {
+    const holds = await check().catch(error => {
+      last = String(error)
+      return false
+    })
+    const ms = performance.now() - startedAt
+    if (holds) return ms
+    if (ms > limitMs) throw new Error(`${what}: not within ${limitMs} ms ${last}`)
+    await sleep(POLL_MS)
+  }
+}
+
+/** Makes a plan, confirms it, and returns the plan and the version that it made. */
+export async function change (
+  call: Call, instance: EntryInstance, operations: readonly Operation[], reason: string
+): Promise<{ readonly plan: Plan, readonly version: number }> {
+  const plan: Plan = await call(instance, '/v1/plans', { operations })
+  if (plan.blockers.length > 0) throw new Error(`plan is blocked: ${plan.blockers.join('; ')}`)
+  const { planId, baseVersion } = plan
+  const record = { changeId: randomUUID(), actor: 'demo', reason }
+  const { version } = await call(instance, '/v1/confirmations', { planId, baseVersion, operations: plan.operations, ...record })
+  return { plan, version }
+}
--- /dev/null
+++ b/packages/standins/src/demo/report.ts
@@ -0,0 +1,47 @@
+/**
+ * The table and the last line of the demo.
+ */
+import type { End, Sample } from './caller.js'
+
+const HEAD = ['kind', 'sent', 'whole', 'refused', 'lost', 'p50 ms', 'p99 ms']
+const FIRST_WIDTH = 16
+const WIDTH = 9
+
+function quantile (sorted: readonly number[], share: number): string {
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]?.toFixed(1) ?? '-'
+}
+
+function count (samples: readonly Sample[], end: End): number {
+  return samples.filter(sample => sample.end === end).length
+}
+
+function row (kind: string, samples: readonly Sample[]): readonly string[] {
+  const times = samples.map(({ ms }) => ms).sort((a, b) => a - b)
+  const ends = (['whole', 'refused', 'lost'] as const).map(end => `${count(samples, end)}`)
+  return [kind, `${samples.length}`, ...ends, quantile(times, 0.5), quantile(times, 0.99)]
+}
+
+/** One row per kind of request. */
+export function formatReport (samples: readonly Sample[]): string {
+  const kinds = [...new Set(samples.map(({ order }) => order.kind))].sort()
+  const rows = kinds.map(kind => row(kind, samples.filter(({ order }) => order.kind === kind)))
+  return [HEAD, ...rows].map(([kind = '', ...cells]) =>
+    kind.padEnd(FIRST_WIDTH) + cells.map(cell => cell.padStart(WIDTH)).join('')).join('\n')
+}
+
+/** Refused and lost requests by what the callers were told. */
+export function formatFailures (samples: readonly Sample[]): readonly string[] {
+  const counts = new Map<string, number>()
+  for (const { end, order, detail } of samples) {
+    if (end === 'whole') continue
+    const text = `${end} ${order.kind}: ${detail}`
+    counts.set(text, (counts.get(text) ?? 0) + 1)
+  }
+  return [...counts].map(([text, times]) => `${times} x ${text}`)
+}
+
+/** `demo: N requests, N whole, N refused, N lost`. */
+export function formatSummary (samples: readonly Sample[]): string {
+  const { length } = samples
+  return `demo: ${length} requests, ${count(samples, 'whole')} whole, ${count(samples, 'refused')} refused, ${count(samples, 'lost')} lost`
+}
--- /dev/null
+++ b/packages/standins/src/demo/verify.ts
@@ -0,0 +1,42 @@
+/**
+ * Compares what callers were told with what the upstreams ran.
+ */
+import type { Run } from '../upstream/run-log.js'
+import type { Sample } from './caller.js'
+
+/** A drain that was confirmed and its target's id. */
+export interface ConfirmedDrain {
+  readonly upstream: string
+  /** Milliseconds since the Unix epoch. */
+  readonly confirmedAt: number
+  /** Time after which the upstream must receive no new work. */
+  readonly boundMs: number
+}
+
+function countBy<T> (rows: readonly T[], key: (row: T) => string | undefined): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>()
+  for (const row of rows) {
+    const name = key(row)
+    if (name !== undefined) counts.set(name, (counts.get(name) ?? 0) + 1)
+  }
+  return counts
+}
+
+/** Descriptions of all broken guarantees. */
+export function findBreaches (samples: readonly Sample[], runs: readonly Run[], drain: ConfirmedDrain): readonly string[] {
+  const runsByPath = countBy(runs, run => run.path)
+  const twice = [...countBy(runs, run => run.key)].filter(([, count]) => count > 1)
+  const unkeyed = runs.filter(run => run.path.startsWith('/purchases') && run.key === undefined)
+  const refusedRan = samples.filter(({ end, order }) => end === 'refused' && order.key === undefined && runsByPath.has(order.path))
+  const unheard = samples.filter(({ end, order }) => end === 'whole' && !runsByPath.has(order.path))
+  const late = runs.filter(run => run.upstream === drain.upstream && run.started > drain.confirmedAt + drain.boundMs)
+  const interrupted = runs.filter(run => run.upstream === drain.upstream && run.end !== 'served')
+  return [
+    ...twice.map(([key, count]) => `key ${key} ran ${count} times`),
+    ...unkeyed.map(run => `${run.path} ran without its key`),
+    ...refusedRan.map(({ order, detail }) => `${order.path} ran although the caller was told ${detail}`),
+    ...unheard.map(({ order }) => `${order.path} was answered without a run`),
+    ...late.map(run => `${run.path} started at the drained ${run.upstream} ${run.started - drain.confirmedAt} ms after the confirmation`),
+    ...interrupted.map(run => `${run.path} at the drained ${run.upstream} ended as ${run.end ?? 'running'}`)
+  ]
+}
