--- a/packages/core/src/routing/arrival.ts
+++ b/packages/core/src/routing/arrival.ts
@@ -11,6 +11,7 @@
 import type { Request } from '../tables.js'
 import type { Progress } from './progress.js'
 import type { RoutingContext, Step } from './routing-context.js'
+import { isStopOver } from '../shutdown/shutdown-system.js'
 import { respond } from './answer-status.js'
 import { complete, refuse } from './completion.js'
 import { forward, place } from './placement.js'
@@ -20,10 +21,6 @@
 /** Deadline of a request whose service is unknown, in milliseconds. */
 const FALLBACK_DEADLINE_MS = 10_000
 
-/** Time after the start of a planned stop in which new requests are still accepted, in milliseconds: callers keep
- * using a look-up for its TTL of 5 s, and late retries follow. */
-export const STOP_ACCEPT_MS = 10_000
-
 /** The first route that matches. */
 export function matchRoute (service: Service, method: string, path: string): Route | undefined {
   return service.routes.find(route =>
@@ -77,7 +74,8 @@
   const progress = createProgress({
     holdsKey: claim?.type === 'run',
     keyHome: toHome ? claim.instanceId : undefined,
-    onlyHere: event.forwarded !== undefined && !event.forwarded.keyHome
+    onlyHere: event.forwarded !== undefined && !event.forwarded.keyHome,
+    singleUseBody: event.singleUseBody === true
   })
   context.world.requests.set(request.id, request)
   context.progress.set(request.id, progress)
@@ -87,13 +85,12 @@
 
 function refusalReason (context: RoutingContext, arrival: Arrival, now: number): Reason | undefined {
   const { event, service, route } = arrival
-  const { configuration, stoppingSince } = context.world
-  if (configuration === undefined) return 'no-configuration'
+  if (context.world.configuration === undefined) return 'no-configuration'
   if (service === undefined) return 'unknown-service'
   if (route === undefined) return 'unknown-route'
   if (route.kind === 'protected' && event.key === undefined) return 'key-required'
   if ((event.contentLength ?? 0) > service.maxBodyBytes) return 'request-too-large'
-  if (stoppingSince !== undefined && now - stoppingSince >= STOP_ACCEPT_MS) return 'instance-stopping'
+  if (isStopOver(context.world, now)) return 'instance-stopping'
   return undefined
 }
 
@@ -110,7 +107,7 @@
 function forwardHome (context: RoutingContext, arrival: Arrival, request: Request, progress: Progress, step: Step): void {
   const home = context.world.instances.get(progress.keyHome ?? '')
   // A request that came here because of its key is not sent on: two instances would send it back and forth.
-  const unreachable = home === undefined || home.state === 'silent' || arrival.event.forwarded?.keyHome === true
+  const unreachable = home === undefined || arrival.event.forwarded?.keyHome === true
   if (unreachable) return refuse(context, request, 'key-home-unreachable', step)
   if (step.now >= request.deadlineAt) return refuse(context, request, 'deadline-passed', step)
   forward(context, request, progress, home, step)
@@ -118,7 +115,7 @@
 
 /** Takes a request. */
 export function arrive (context: RoutingContext, event: RequestArrived, step: Step): void {
-  const service = context.index()?.services.get(event.service)
+  const service = context.rows.service(event.service)
   const route = service === undefined ? undefined : matchRoute(service, event.method, event.path)
   const keyed = event.key !== undefined && (route === undefined || route.kind === 'protected')
   const claim = keyed ? context.parts.keys.claim(event.key, event.requestId, step.now) : undefined
--- a/packages/core/src/routing/attempt-events.ts
+++ b/packages/core/src/routing/attempt-events.ts
@@ -30,7 +30,7 @@
 function servedReason (context: RoutingContext, { attempt, request }: Found): Reason {
   if (attempt.hedge) return 'hedged'
   if (attempt.zone === request.originZone) return 'home-zone'
-  return sameRegion(context.index(), attempt.zone, request.originZone) ? 'moved-zone' : 'moved-region'
+  return sameRegion(context, attempt.zone, request.originZone) ? 'moved-zone' : 'moved-region'
 }
 
 /** Sends the request again, or ends it with `reason` when it had its attempts. */
@@ -46,7 +46,7 @@
 
 function observeTrip (context: RoutingContext, { attempt, request }: Found, serviceMs: number, now: number): void {
   if (attempt.target.type !== 'instance' || request.length !== 'short') return
-  const near = sameRegion(context.index(), context.world.self.zone, attempt.zone)
+  const near = sameRegion(context, context.world.self.zone, attempt.zone)
   context.trips.observe(attempt.zone, now - attempt.startedAt - serviceMs, near)
 }
 
@@ -69,11 +69,18 @@
   context.attempts.end(attempt, progress, shed ? 'refused' : 'unreachable', step.now)
   const request = { ...found.request, refusals: found.request.refusals + 1 }
   context.world.requests.set(request.id, request)
+  if (attempt.target.type === 'instance' && progress.keyHome === undefined) {
+    context.peerRefusals.record(attempt.target.id, request.service, request.length, step.now)
+  }
   if (shed) observeTrip(context, found, 0, step.now)
   if (progress.open.length > 0) return request.service
   if (progress.keyHome !== undefined) {
     progress.refusedByHome = shed
-    refuse(context, request, shed ? 'upstream-refused' : 'key-home-unreachable', step)
+    refuse(context, request, shed ? event.reason ?? 'upstream-refused' : 'key-home-unreachable', step)
+    return request.service
+  }
+  if (event.bodyConsumed === true) {
+    refuse(context, request, event.reason ?? 'upstream-refused', step)
     return request.service
   }
   // A drain is planned, so it must not use up the budget; a refused forward is charged only if it is repeated.
@@ -124,16 +131,16 @@
   if (found === undefined) return undefined
   const { attempt, request, progress } = found
   context.attempts.end(attempt, progress, 'failed', step.now)
-  const reason = event.truncated ? 'upstream-truncated' : 'upstream-failed'
+  const reason = event.reason ?? (event.truncated ? 'upstream-truncated' : 'upstream-failed')
   if (progress.answeredBy === attempt.id) {
     const answer = { type: 'reset', requestId: request.id, reason } as const
     complete(context, request, { outcome: 'unknown', reason, answer }, step)
   } else if (progress.open.length > 0) {
     return request.service
-  } else if (request.kind === 'repeatable') {
+  } else if (request.kind === 'repeatable' && !progress.singleUseBody) {
     retry(context, found, reason, true, step)
   } else {
-    refuse(context, request, progress.keyHome === undefined ? reason : 'key-home-unreachable', step)
+    refuse(context, request, progress.keyHome === undefined ? reason : event.reason ?? 'key-home-unreachable', step)
   }
   return request.service
 }
--- a/packages/core/src/routing/completion.ts
+++ b/packages/core/src/routing/completion.ts
@@ -83,7 +83,10 @@
 /** The outcome of a request that ends without an answer from an upstream. */
 export function honestOutcome (context: RoutingContext, request: Request, progress: Progress): Outcome {
   if (request.state === 'waiting-for-key') return 'unknown'
-  const openWritten = progress.open.some(id => (context.world.attempts.get(id)?.state ?? 'created') !== 'created')
+  // For a protected request also an attempt in the state created: the report of its first write may be under way, and
+  // a false not-run would let the caller run it twice.
+  const openWritten = progress.open.some(id =>
+    request.kind === 'protected' || context.world.attempts.get(id)?.state !== 'created')
   return mayHaveRun(progress, openWritten) ? 'unknown' : 'not-run'
 }
 
--- a/packages/core/src/routing/queue-service.ts
+++ b/packages/core/src/routing/queue-service.ts
@@ -35,7 +35,7 @@
 /** Places the queued requests of a service anew when the own zone can no longer run them. */
 function replaceStranded (context: RoutingContext, service: string, step: Step): void {
   const { zone } = context.world.self
-  const accepts = context.index()?.accepts(service, zone) === true
+  const accepts = context.hosting.accepts(service, zone)
   if (accepts && context.parts.slots.total(service, zone, step.now) > 0) return
   const stranded: Request[] = []
   for (const { queue } of context.queues.waiting(service)) {
--- a/packages/core/src/routing/routing-context.ts
+++ b/packages/core/src/routing/routing-context.ts
@@ -4,16 +4,20 @@
 import type { Command } from '../command.js'
 import type { Request, World } from '../tables.js'
 import type { AttemptTable } from './attempt-table.js'
-import type { ConfigurationIndex } from './configuration-index.js'
+import type { ConfigurationIndex } from '../limits/configuration-index.js'
 import type { DecisionLog } from './decision-log.js'
+import type { Hosting } from './hosting.js'
+import type { PeerRefusals } from './peer-refusals.js'
 import type { Progress } from './progress.js'
 import type { RequestQueues } from './request-queues.js'
 import type { RoundTrips } from './round-trips.js'
 import type { RoutingParts } from './routing-parts.js'
 import type { TimerHeap } from './timer-heap.js'
 import { createAttemptTable } from './attempt-table.js'
-import { createConfigurationIndex } from './configuration-index.js'
+import { createConfigurationIndex } from '../limits/configuration-index.js'
 import { createDecisionLog } from './decision-log.js'
+import { createHosting } from './hosting.js'
+import { createPeerRefusals } from './peer-refusals.js'
 import { createRequestQueues } from './request-queues.js'
 import { createRoundTrips } from './round-trips.js'
 import { createTimerHeap } from './timer-heap.js'
@@ -31,8 +35,10 @@
   readonly hedgeTimers: TimerHeap
   readonly decisions: DecisionLog
   readonly trips: RoundTrips
-  /** Index of the current configuration. */
-  readonly index: () => ConfigurationIndex | undefined
+  readonly peerRefusals: PeerRefusals
+  /** Rows of the current configuration by key. */
+  readonly rows: ConfigurationIndex
+  readonly hosting: Hosting
 }
 
 /** One event's processing: the time read for it and the commands that it causes. */
@@ -43,8 +49,6 @@
 
 /** Creates the shared state. */
 export function createRoutingContext (world: World, parts: RoutingParts): RoutingContext {
-  let indexed = world.configuration
-  let index = indexed === undefined ? undefined : createConfigurationIndex(indexed)
   return {
     world,
     parts,
@@ -55,13 +59,9 @@
     hedgeTimers: createTimerHeap(),
     decisions: createDecisionLog(),
     trips: createRoundTrips(),
-    index () {
-      if (world.configuration !== indexed) {
-        indexed = world.configuration
-        index = indexed === undefined ? undefined : createConfigurationIndex(indexed)
-      }
-      return index
-    }
+    peerRefusals: createPeerRefusals(),
+    rows: createConfigurationIndex(world),
+    hosting: createHosting(world)
   }
 }
 
@@ -74,7 +74,7 @@
 }
 
 /** Whether two zones are in the same region; `false` when either is not configured. */
-export function sameRegion (index: ConfigurationIndex | undefined, a: string, b: string): boolean {
-  const region = index?.regions.get(a)
-  return a === b || (region !== undefined && region === index?.regions.get(b))
+export function sameRegion (context: RoutingContext, a: string, b: string): boolean {
+  const region = context.rows.zone(a)?.region
+  return a === b || (region !== undefined && region === context.rows.zone(b)?.region)
 }
--- a/packages/core/src/routing/routing-parts.ts
+++ b/packages/core/src/routing/routing-parts.ts
@@ -2,19 +2,20 @@
  * The parts that the routing system calls. Tests replace them by simple implementations.
  */
 import type { KeyStore } from '../idempotency/key-store.js'
+import type { Origin } from '../lookup/block-table.js'
 import type { FairQueue } from '../limits/fair-queue.js'
 import type { HedgePolicy } from '../limits/hedge-policy.js'
 import type { LinkBudget } from '../limits/link-budget.js'
+import type { Outstanding } from '../limits/outstanding.js'
 import type { RetryBudget } from '../limits/retry-budget.js'
 import type { ShiftMeter } from '../limits/shift-meter.js'
 import type { SlotLimits } from '../limits/slot-limits.js'
 import type { UpstreamSelector } from '../limits/upstream-selector.js'
 
-/** Where a request comes from. */
-export interface Origin { readonly zone: string, readonly tenant: string }
-
 /** Everything that routing decides with, apart from the tables. */
 export interface RoutingParts {
+  /** Attempts that have not ended, by upstream. Routing keeps it up to date. */
+  readonly outstanding: Outstanding
   readonly slots: SlotLimits
   readonly upstreams: UpstreamSelector
   readonly shifts: ShiftMeter
--- a/packages/core/tests/routing/simple-parts.ts
+++ b/packages/core/tests/routing/simple-parts.ts
@@ -8,6 +8,7 @@
 import type { Instance, World } from '../../src/tables.js'
 import { err } from 'neverthrow'
 import { EMPTY_CONFIGURATION } from '../../src/configuration.js'
+import { createOutstanding } from '../../src/limits/outstanding.js'
 import { createWorld } from '../../src/engine.js'
 
 export const SLOTS = 2
@@ -107,6 +108,7 @@
   const live = (service: string, zone: string) => [...world.upstreams.values()]
     .filter(row => row.service === service && row.zone === zone && row.state === 'live')
   return {
+    outstanding: createOutstanding(),
     slots: {
       limit: () => SLOTS,
       recordRefusal: () => {},
