--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -101,6 +101,7 @@
 /** Creates the engine of one entry instance. */
 export function createEngine (options: EngineOptions): Engine {
   const world = createWorld(options.self)
+  const lookup = createLookup(world)
   const parts = createRoutingParts(world, options.seed)
   const routing = createRouting(world, parts)
   const membership = createMembershipSystem(world, { headroom: () => routing.headroom(monotonicNow()) })
