Take upstreams of the first list as warm

Each engine took all upstreams as newly listed and ramped its slots from one, so that a restart of an entry instance cut the capacity of its zone for the length of the cold start. The queue and the choice of zone were ruled out: the region's load stayed under capacity. Change: upstreams of the first list count as warm. A test holds it.

--- a/packages/bench/src/policy/fleet.ts
+++ b/packages/bench/src/policy/fleet.ts
@@ -9,7 +9,7 @@
 import type { TracedRequest } from './trace.js'
 import type { VirtualTime } from './virtual-time.js'
 import { createNodeFake } from './node-fake.js'
-import { createConfiguration } from './profile.js'
+import { createConfiguration, delayMs } from './profile.js'
 
 export interface FleetOptions {
   readonly time: VirtualTime
@@ -86,16 +86,21 @@
     }
   }
 
-  /** Instances that the client would try, from its cached look-up or a new one at the nearest live instance. */
+  /** Instances that the client would try, from its cached look-up or from the nearest instance that answers one. */
   function lookup (zone: string, service: string): readonly string[] {
     const key = `${zone}/${service}`
     const cached = lookups.get(key)
     if (cached !== undefined && time.now() - cached.at < LOOKUP_TTL_MS) return cached.ids
-    const node = nodes.find(row => row.zone === zone && row.alive()) ?? nodes.find(row => row.alive())
-    const answer = node?.engine.lookup({ service })
-    const ids = answer?.isOk() === true ? answer.value.instances.map(instance => instance.id) : []
-    lookups.set(key, { ids, at: time.now() })
-    return ids
+    const nearest = [...nodes].sort((a, b) => delayMs(profile, zone, a.zone) - delayMs(profile, zone, b.zone))
+    for (const node of nearest) {
+      if (!node.alive()) continue
+      const answer = node.engine.lookup({ service })
+      if (answer.isErr()) continue
+      const ids = answer.value.instances.map(instance => instance.id)
+      lookups.set(key, { ids, at: time.now() })
+      return ids
+    }
+    return []
   }
 
   function end (request: TracedRequest, result: End): void {
@@ -124,12 +129,12 @@
   }
 
   /** Tries the instances of the look-up in turn; each one that is gone costs the client a time-out. */
-  function attempt (request: TracedRequest, ids: readonly string[], index: number): void {
-    const node = byId.get(ids[index % Math.max(1, ids.length)] ?? '')
+  function attempt (request: TracedRequest, ids: readonly string[], start: number, tried: number): void {
+    const node = byId.get(ids[(start + tried) % Math.max(1, ids.length)] ?? '')
     if (node?.alive() === true) {
       time.after(profile.clientDelayMs, () => arrive(request, node))
-    } else if (index < ids.length) {
-      time.after(CLIENT_CONNECT_TIMEOUT_MS, () => attempt(request, ids, index + 1))
+    } else if (tried + 1 < ids.length) {
+      time.after(CLIENT_CONNECT_TIMEOUT_MS, () => attempt(request, ids, start, tried + 1))
     } else {
       end(request, { type: 'refused', reason: 'no-instance' })
     }
@@ -149,7 +154,7 @@
       const ids = lookup(request.zone, request.kind.service)
       const local = ids.filter(id => byId.get(id)?.zone === request.zone)
       const start = local.length > 1 ? ids.indexOf(local[Math.floor(request.at) % local.length]!) : 0
-      attempt(request, ids, start)
+      attempt(request, ids, start, 0)
     },
     configure: change => {
       configuration = { ...change(configuration), version: configuration.version + 1 }
--- a/packages/bench/src/policy/main.ts
+++ b/packages/bench/src/policy/main.ts
@@ -3,6 +3,7 @@
  */
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import type { UserFigures } from './scenarios.js'
+import { BASELINES } from './baseline.js'
 import { ASSOCIATION, CONSORTIUM } from './profile.js'
 import { measureUser } from './scenarios.js'
 import { plotUsers } from './plot.js'
@@ -38,8 +39,11 @@
 
   save = Option.Boolean('--save', false, { description: 'Keep this result as the previous result of later runs.' })
 
+  baselines = Option.Boolean('--baselines', true, { description: 'Run the baselines too; --no-baselines leaves them out.' })
+
   async execute (): Promise<number> {
-    const options = { seed: Number(this.seed), durationMs: Number(this.seconds) * MS_PER_SECOND }
+    const baselines = this.baselines ? Object.keys(BASELINES) : []
+    const options = { seed: Number(this.seed), durationMs: Number(this.seconds) * MS_PER_SECOND, baselines }
     const progress = (text: string): void => { this.context.stderr.write(`${text}\n`) }
     const users: Record<string, UserFigures> = {}
     for (const profile of [ASSOCIATION, CONSORTIUM]) users[profile.name] = measureUser(profile, options, progress)
--- a/packages/bench/src/policy/scenarios.ts
+++ b/packages/bench/src/policy/scenarios.ts
@@ -5,13 +5,14 @@
 import type { Profile } from './profile.js'
 import type { Disturbance } from './replay.js'
 import type { TraceOptions } from './trace.js'
-import { BASELINES } from './baseline.js'
 import { SYSTEM, replay } from './replay.js'
 import { regionOf } from './profile.js'
 
 export interface ScenarioOptions {
   readonly seed: number
   readonly durationMs: number
+  /** Baselines to run beside the system under test. */
+  readonly baselines: readonly string[]
 }
 
 /** Figures of one replay; times in milliseconds. */
@@ -65,7 +66,8 @@
 }
 
 function traceOptions (options: ScenarioOptions, load: number, changes: Partial<TraceOptions> = {}): TraceOptions {
-  return { ...options, load, uploadLoad: 0.5, mixedLongLoad: 0, straggling: false, ...changes }
+  const { seed, durationMs } = options
+  return { seed, durationMs, load, uploadLoad: 0.5, mixedLongLoad: 0, straggling: false, ...changes }
 }
 
 /** Loses all upstreams and entry instances of the first region for the middle third of the replay. */
@@ -125,7 +127,7 @@
     progress(`${profile.name} ${policy} ${name}: p99 ${result.latency.short!.p99.toFixed(1)} ms`)
     return result
   }
-  for (const policy of [...Object.keys(BASELINES), SYSTEM]) {
+  for (const policy of [...options.baselines, SYSTEM]) {
     for (const load of [0.6, 0.8]) {
       run(`calm ${load}`, policy, traceOptions(options, load))
       run(`straggling ${load}`, policy, traceOptions(options, load, { straggling: true }))
--- a/packages/core/src/membership/upstream-table.ts
+++ b/packages/core/src/membership/upstream-table.ts
@@ -20,6 +20,7 @@
 export function createUpstreamTable (world: World, marks: LeavingMarks): UpstreamTable {
   /** Time of the first list without the upstream. */
   const missingSince = new Map<string, number>()
+  let hasList = false
 
   function mark (id: string, zone: string | undefined, now: number): boolean {
     const row = world.upstreams.get(id)
@@ -33,7 +34,9 @@
     const { id, zone, address } = entry
     const isNew = entry.state === 'leaving' && marks.add(id, zone, now)
     const leavingAt = marks.markedAt(id)
-    const listedAt = world.upstreams.get(id)?.listedAt ?? now
+    // An instance that starts can't tell which upstreams are cold. It takes those of its first list as warm, because
+    // a fleet under replacement would otherwise lose most of its slots for the length of the cold start.
+    const listedAt = world.upstreams.get(id)?.listedAt ?? (hasList ? now : -Infinity)
     world.upstreams.set(id, {
       id,
       service,
@@ -66,6 +69,7 @@
         listed.add(entry.id)
         if (list(entry, entry.service, now)) marked.push(entry)
       }
+      hasList = true
       removeMissing(listed, now)
       marks.expire(id => world.upstreams.get(id)?.zone, now)
       return marked
--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -29,7 +29,7 @@
   readonly zone: string
   readonly address: string
   readonly state: 'live' | 'leaving'
-  /** Monotonic time at which the upstream was first listed. */
+  /** Monotonic time at which the upstream was first listed; `-Infinity` if it was in the first list. */
   readonly listedAt: number
   /** Monotonic time at which the leaving mark was first seen. */
   readonly leavingAt?: number
--- /dev/null
+++ b/packages/core/tests/membership/cold-start.test.ts
@@ -0,0 +1,14 @@
+import type { ListedInstance } from '../../src/event.js'
+import { expect, it } from 'vitest'
+import { createWorld, runSystems } from '../../src/engine.js'
+import { createMembershipSystem } from '../../src/membership/membership-system.js'
+import { self } from '../fixtures.js'
+
+it('takes upstreams of the first list as warm, guarding against a restart that cuts the slots of the whole zone', () => {
+  const world = createWorld(self('a1', 'z1'))
+  const systems = [createMembershipSystem(world)]
+  const entry = (id: string): ListedInstance => ({ id, role: 'upstream', service: 'tokens', zone: 'z1', address: id, state: 'live' })
+  runSystems(systems, { type: 'list-received', entries: [entry('u1')] }, 100)
+  runSystems(systems, { type: 'list-received', entries: [entry('u1'), entry('u2')] }, 200)
+  expect([...world.upstreams.values()].map(row => row.listedAt)).toEqual([-Infinity, 200])
+})
