Let the policy benchmark warm up, and count the first start of a hedged request

Cause: instances did not know each other in the first seconds of a trace, clients cached look-ups of that time, and the wait of a hedged request was counted at its second start. These hid the policy's own waits.

--- a/packages/bench/src/policy/fleet.ts
+++ b/packages/bench/src/policy/fleet.ts
@@ -25,6 +25,8 @@
   readonly send: (request: TracedRequest) => void
   /** Replaces the configuration of every live node. */
   readonly configure: (change: (configuration: ReturnType<typeof createConfiguration>) => ReturnType<typeof createConfiguration>) => void
+  /** Starts a node again and gives it the configuration and the list, as the platform does before it is ready. */
+  readonly restart: (node: NodeFake) => void
   /** Requests that wait for an answer. */
   readonly waiting: () => number
 }
@@ -66,12 +68,13 @@
     again()
   }
 
+  function prepare (node: NodeFake): void {
+    node.deliver({ type: 'configuration-received', configuration, source: 'platform' })
+    node.deliver({ type: 'list-received', entries: list() })
+  }
+
   function deliverList (): void {
-    const entries = list()
-    for (const node of nodes) {
-      node.deliver({ type: 'configuration-received', configuration, source: 'platform' })
-      node.deliver({ type: 'list-received', entries })
-    }
+    for (const node of nodes) prepare(node)
   }
 
   function reportLoad (): void {
@@ -121,9 +124,14 @@
       contentLength: request.kind.length === 'long' ? request.kind.bytes : 0,
       ...(keys?.isOk() === true ? { key: keys.value.keys[0]! } : {})
     }
+    let started = false
     node.accept(event, {
       workMs: request.workMs,
-      onStart: () => measures.recordWait(request, time.now() - request.at),
+      // Hedges start the work a second time; the caller waited for the first start only.
+      onStart: () => {
+        if (!started) measures.recordWait(request, time.now() - request.at)
+        started = true
+      },
       onEnd: result => time.after(profile.clientDelayMs, () => end(request, result))
     })
   }
@@ -160,6 +168,10 @@
       configuration = { ...change(configuration), version: configuration.version + 1 }
       for (const node of nodes) node.deliver({ type: 'configuration-received', configuration, source: 'platform' })
     },
+    restart: node => {
+      node.restart()
+      prepare(node)
+    },
     waiting: () => waiting
   }
 }
--- a/packages/bench/src/policy/replay.ts
+++ b/packages/bench/src/policy/replay.ts
@@ -12,7 +12,7 @@
 import { createMeasures } from './measures.js'
 import { createRandom } from './random.js'
 import { createSite, sampleSite } from './site.js'
-import { drawRequests } from './trace.js'
+import { WARM_UP_MS, drawRequests } from './trace.js'
 import { createVirtualTime } from './virtual-time.js'
 
 /** Name of the system under test among the policies. */
@@ -36,7 +36,7 @@
   if (policy !== SYSTEM) {
     return createBaseline({ time, profile, site, measures, random: createRandom(trace.seed), name: policy })
   }
-  const untilMs = trace.durationMs + TAIL_MS
+  const untilMs = WARM_UP_MS + trace.durationMs + TAIL_MS
   const fleet = createFleet({ time, profile, site, measures, seed: trace.seed, untilMs })
   options.disturbance?.({ time, site, fleet })
   return fleet.send
@@ -63,10 +63,10 @@
   try {
     const measures = createMeasures()
     const site = createSite(time, options.profile, options.trace, options.policy === SYSTEM ? 'shed' : 'queue')
-    sampleSite(time, options.profile, site, measures, options.trace.durationMs)
+    sampleSite(time, options.profile, site, measures, WARM_UP_MS + options.trace.durationMs)
     const send = createSender(options, time, site, measures)
     schedule(time, drawRequests(options.profile, options.trace), send)
-    time.runUntil(options.trace.durationMs + TAIL_MS)
+    time.runUntil(WARM_UP_MS + options.trace.durationMs + TAIL_MS)
     return measures
   } finally {
     time.release()
--- a/packages/bench/src/policy/scenarios.ts
+++ b/packages/bench/src/policy/scenarios.ts
@@ -6,6 +6,7 @@
 import type { Disturbance } from './replay.js'
 import type { TraceOptions } from './trace.js'
 import { SYSTEM, replay } from './replay.js'
+import { WARM_UP_MS } from './trace.js'
 import { regionOf } from './profile.js'
 
 export interface ScenarioOptions {
@@ -76,13 +77,13 @@
   return ({ time, site, fleet }) => {
     const upstreams = site.upstreams.filter(upstream => regionOf(profile, upstream.zone) === region)
     const nodes = fleet.nodes.filter(node => regionOf(profile, node.zone) === region)
-    time.after(durationMs / 3, () => {
+    time.after(WARM_UP_MS + durationMs / 3, () => {
       for (const node of nodes) node.crash()
       for (const upstream of upstreams) upstream.crash()
     })
-    time.after(durationMs * 2 / 3, () => {
+    time.after(WARM_UP_MS + durationMs * 2 / 3, () => {
       for (const upstream of upstreams) upstream.restart()
-      for (const node of nodes) node.restart()
+      for (const node of nodes) fleet.restart(node)
     })
   }
 }
@@ -98,7 +99,7 @@
     trace: traceOptions(options, 0.6),
     disturbance: ({ time, site, fleet }) => {
       const upstream = site.upstreams[0]!
-      const drainAt = options.durationMs / 2
+      const drainAt = WARM_UP_MS + options.durationMs / 2
       started = upstream.started
       const poll = (): void => {
         if (upstream.running() === 0) idleMs = time.now() - drainAt
--- a/packages/bench/src/policy/trace.ts
+++ b/packages/bench/src/policy/trace.ts
@@ -34,6 +34,9 @@
   readonly straggling: boolean
 }
 
+/** Instances know each other and their configuration before the first request. */
+export const WARM_UP_MS = 4_000
+
 /** Speed of an upstream in a slow spell. */
 export const SPELL_SLOWDOWN = 8
 const SPELL_MEAN_MS = 300
@@ -62,7 +65,8 @@
 function drawStream (profile: Profile, stream: Stream, index: number, options: TraceOptions): readonly TracedRequest[] {
   const random = createRandom(options.seed + index * 7_919)
   const requests: TracedRequest[] = []
-  for (let at = random.exponential(1 / stream.perMs); at < options.durationMs; at += random.exponential(1 / stream.perMs)) {
+  const end = WARM_UP_MS + options.durationMs
+  for (let at = WARM_UP_MS + random.exponential(1 / stream.perMs); at < end; at += random.exponential(1 / stream.perMs)) {
     requests.push({
       id: `${stream.kind.name}-${requests.length}`,
       at,
@@ -86,7 +90,7 @@
 export function drawSpells (random: Random, options: TraceOptions): readonly Spell[] {
   const spells: Spell[] = []
   if (!options.straggling) return spells
-  for (let at = random.exponential(GAP_MEAN_MS); at < options.durationMs;) {
+  for (let at = random.exponential(GAP_MEAN_MS); at < WARM_UP_MS + options.durationMs;) {
     const to = at + random.exponential(SPELL_MEAN_MS)
     spells.push({ from: at, to })
     at = to + random.exponential(GAP_MEAN_MS)
