Tune the straggler test, and keep the inputs of slot limits by upstream

Cause: the first constants marked upstreams too early and cleared them too soon, and each limit built its inputs anew. Change: suspectAt 5, clearAt 3, cap 9, scoreWeight 2; slot limits keep a row by upstream. Result: npm test green, 28 tests.

--- a/packages/core/src/limits/slot-limits.ts
+++ b/packages/core/src/limits/slot-limits.ts
@@ -3,7 +3,7 @@
  * While other instances that own shares are absent it grows one slot at a time, and every refusal by the upstream
  * lowers it. Two instances that use the same slot do no harm, because the upstream refuses before it runs the request.
  */
-import type { Service } from '../configuration.js'
+import type { Configuration, Service } from '../configuration.js'
 import type { Upstream, World } from '../tables.js'
 import type { Outstanding } from './outstanding.js'
 import type { Presence } from './zone-presence.js'
@@ -30,141 +30,143 @@
 const GROWTH_MS = 500
 /** Time after a refusal in which a limit does not grow. */
 const GROWTH_STOP_MS = 2_000
-/** Adjustments are dropped for upstreams that are no longer listed when there are more rows than this. */
+/** Rows are dropped of upstreams that are no longer listed when there are more rows than this. */
 const PRUNE_AT = 1_000
 
-/** Difference between an upstream's limit and the share. */
-interface Adjustment {
-  /** Above 0 while others are absent, below 0 after refusals. */
-  slots: number
+/** What the limit of one upstream is made from. */
+interface Row {
+  /** The inputs that the fields below were read from. */
+  upstream: Upstream
+  configuration: Configuration | undefined
+  presence: Presence | undefined
+  /** Absent when the service or the zone is not configured, or the upstream is drained. */
+  service: Service | undefined
+  configuredInstances: number
+  own: boolean
+  share: number
+  /** Difference between limit and share: above 0 while others are absent, below 0 after refusals. */
+  extra: number
   /** Time from which the next slot of growth is counted. */
   growthFrom: number
-  /** `returns` of the zone's presence when the adjustment was last updated. */
+  /** `returns` of the zone's presence when `extra` was last updated. */
   returns: number
 }
 
-/** The inputs of one upstream's limit. */
-interface Basis {
-  readonly upstream: Upstream
-  readonly service: Service
-  readonly presence: Presence
-  readonly share: number
-  readonly growsSince: number | undefined
-}
-
 /** Creates the slot limits of one instance. */
 export function createSlotLimits (world: World, outstanding: Outstanding): SlotLimits {
   const configuration = createConfigurationIndex(world)
   const presenceOf = createZonePresence(world, configuration)
   const shareOf = createSlotShare(world.self.id)
   const upstreamsOf = createGroupIndex(world.upstreams, row => `${row.service}@${row.zone}`)
-  const adjustments = new Map<string, Adjustment>()
+  const rows = new Map<string, Row>()
 
-  /** Whether this instance may use upstreams of the zone at all now. */
-  function usable (zone: string, now: number): boolean {
-    if (zone === world.self.zone) return true
+  function inRegion (zone: string): boolean {
     const region = configuration.zone(world.self.zone)?.region
-    if (region === undefined || configuration.zone(zone)?.region !== region) return false
-    const since = presenceOf(zone, now).allAbsentSince
-    return since !== undefined && since <= now
+    return region !== undefined && configuration.zone(zone)?.region === region
   }
 
-  function basisOf (upstreamId: string, now: number): Basis | undefined {
-    const upstream = world.upstreams.get(upstreamId)
-    if (upstream === undefined || upstream.state !== 'live' || !usable(upstream.zone, now)) return undefined
-    const service = configuration.service(upstream.service)
-    const zone = configuration.zone(upstream.zone)
-    if (service === undefined || zone === undefined || configuration.drained(upstream)) return undefined
-    const presence = presenceOf(upstream.zone, now)
-    const own = upstream.zone === world.self.zone
-    return {
+  function createRow (upstream: Upstream): Row {
+    if (rows.size >= PRUNE_AT) for (const id of rows.keys()) if (!world.upstreams.has(id)) rows.delete(id)
+    const row: Row = {
       upstream,
-      service,
-      presence,
-      share: own ? shareOf(upstreamId, service.slots, zone.instances, presence) : 0,
-      growsSince: own ? presence.absentSince : presence.allAbsentSince
+      configuration: undefined,
+      presence: undefined,
+      service: undefined,
+      configuredInstances: 0,
+      own: upstream.zone === world.self.zone,
+      share: 0,
+      extra: 0,
+      growthFrom: upstream.listedAt,
+      returns: -1
     }
+    rows.set(upstream.id, row)
+    return row
   }
 
-  function prune (): void {
-    if (adjustments.size < PRUNE_AT) return
-    for (const id of adjustments.keys()) if (!world.upstreams.has(id)) adjustments.delete(id)
+  function refresh (row: Row, upstream: Upstream): void {
+    const zone = configuration.zone(upstream.zone)
+    const usable = zone !== undefined && !configuration.drained(upstream) && (row.own || inRegion(upstream.zone))
+    row.upstream = upstream
+    row.configuration = world.configuration
+    row.presence = undefined
+    row.service = usable ? configuration.service(upstream.service) : undefined
+    row.configuredInstances = zone?.instances ?? 0
   }
 
-  function adjustmentOf (basis: Basis): Adjustment {
-    let row = adjustments.get(basis.upstream.id)
-    if (row === undefined) {
-      prune()
-      row = { slots: 0, growthFrom: basis.upstream.listedAt, returns: basis.presence.returns }
-      adjustments.set(basis.upstream.id, row)
+  /** The row of a live, configured upstream that is not drained, with its share. */
+  function rowOf (upstreamId: string, now: number): Row | undefined {
+    const upstream = world.upstreams.get(upstreamId)
+    if (upstream === undefined || upstream.state !== 'live') return undefined
+    const row = rows.get(upstreamId) ?? createRow(upstream)
+    if (row.upstream !== upstream || row.configuration !== world.configuration) refresh(row, upstream)
+    if (row.service === undefined) return undefined
+    const presence = presenceOf(upstream.zone, now)
+    if (row.presence !== presence) {
+      row.presence = presence
+      row.share = row.own ? shareOf(upstreamId, row.service.slots, row.configuredInstances, presence) : 0
     }
     return row
   }
 
   /** Adds the slots that have grown since `growthFrom`, at most `room`. */
-  function grow (row: Adjustment, room: number, now: number): void {
+  function grow (row: Row, room: number, now: number): void {
     const steps = Math.floor((now - row.growthFrom) / GROWTH_MS)
     if (steps <= 0) return
-    row.slots += Math.min(steps, room)
+    row.extra += Math.min(steps, room)
     // Time at the highest limit is not credited to a later growth.
     row.growthFrom = steps > room ? now : row.growthFrom + steps * GROWTH_MS
   }
 
-  function update (basis: Basis, now: number): Adjustment {
-    const row = adjustmentOf(basis)
-    const { presence, growsSince, share } = basis
+  function update (row: Row, service: Service, presence: Presence, now: number): void {
+    const growsSince = row.own ? presence.absentSince : presence.allAbsentSince
     if (row.returns !== presence.returns) {
       row.returns = presence.returns
-      if (row.slots > 0) row.growthFrom = Math.max(row.growthFrom, now)
-      row.slots = Math.min(0, row.slots)
+      if (row.extra > 0) row.growthFrom = Math.max(row.growthFrom, now)
+      row.extra = Math.min(0, row.extra)
     }
     // A limit below the share recovers at the same pace, whoever is absent.
-    if (row.slots < 0) grow(row, -row.slots, now)
-    if (row.slots < 0) return row
+    if (row.extra < 0) grow(row, -row.extra, now)
+    if (row.extra < 0) return
     if (growsSince === undefined || growsSince > now) {
-      row.slots = 0
-      row.growthFrom = Math.max(row.growthFrom, now)
-      return row
+      row.extra = 0
+      return
     }
     row.growthFrom = Math.max(row.growthFrom, growsSince)
-    row.slots = Math.min(row.slots, basis.service.slots - share)
-    grow(row, basis.service.slots - share - row.slots, now)
-    return row
+    row.extra = Math.min(row.extra, service.slots - row.share)
+    grow(row, service.slots - row.share - row.extra, now)
   }
 
   /** Highest limit of an upstream that was listed a short time ago; it rises linearly from one. */
-  function rampOf (basis: Basis, now: number): number {
-    const { service, upstream } = basis
-    const age = now - upstream.listedAt
+  function rampOf (row: Row, service: Service, now: number): number {
+    const age = now - row.upstream.listedAt
     if (age >= service.coldStartMs) return Infinity
-    const target = upstream.zone === world.self.zone ? basis.share : service.slots
+    const target = row.own ? row.share : service.slots
     return Math.min(target, 1 + Math.floor((target - 1) * age / service.coldStartMs))
   }
 
-  function limit (upstreamId: string, now: number): number {
-    const basis = basisOf(upstreamId, now)
-    if (basis === undefined) return 0
-    return Math.min(basis.share + update(basis, now).slots, rampOf(basis, now))
+  function limitOf (row: Row | undefined, now: number): number {
+    if (row?.service === undefined || row.presence === undefined) return 0
+    update(row, row.service, row.presence, now)
+    return Math.min(row.share + row.extra, rampOf(row, row.service, now))
   }
 
   function recordRefusal (upstreamId: string, now: number): void {
-    const basis = basisOf(upstreamId, now)
-    if (basis === undefined) return
-    const row = update(basis, now)
+    const row = rowOf(upstreamId, now)
+    if (row === undefined) return
     // At least one slot stays for the own zone's upstreams, so that a recovery is noticed.
-    const least = Math.min(1, basis.share)
-    const current = Math.min(basis.share + row.slots, rampOf(basis, now))
-    row.slots = Math.max(least, current - 1) - basis.share
+    row.extra = Math.max(Math.min(1, row.share), limitOf(row, now) - 1) - row.share
     row.growthFrom = now + GROWTH_STOP_MS
   }
 
   function sum (service: string, zone: string, now: number, value: (upstreamId: string) => number): number {
-    if (!usable(zone, now)) return 0
+    if (zone !== world.self.zone && !inRegion(zone)) return 0
     let total = 0
     for (const id of upstreamsOf(`${service}@${zone}`, now)) total += value(id)
     return total
   }
 
+  const limit = (upstreamId: string, now: number): number => limitOf(rowOf(upstreamId, now), now)
+
   return {
     limit,
     recordRefusal,
--- a/packages/core/src/limits/straggler-detector.ts
+++ b/packages/core/src/limits/straggler-detector.ts
@@ -20,7 +20,7 @@
   readonly meanWeight: number
 }
 
-export const STRAGGLER_TUNING: StragglerTuning = { suspectAt: 3, clearAt: 1, cap: 5, meanWeight: 1 / 500 }
+export const STRAGGLER_TUNING: StragglerTuning = { suspectAt: 5, clearAt: 3, cap: 9, meanWeight: 1 / 500 }
 
 /** State of one upstream. Read by the selector, changed only through the functions below. */
 export interface Pace {
@@ -70,6 +70,7 @@
   const elapsed = now - pace.updatedAt
   if (elapsed <= 0) return
   pace.updatedAt = now
+  if (pace.active.short + pace.active.long === 0) return
   let exposure = 0
   for (const length of LENGTHS) {
     if (pace.active[length] === 0) continue
--- a/packages/core/src/limits/upstream-selector.ts
+++ b/packages/core/src/limits/upstream-selector.ts
@@ -45,7 +45,7 @@
   readonly suspectShare: number
 }
 
-export const SELECTOR_TUNING: SelectorTuning = { ...STRAGGLER_TUNING, scoreWeight: 0.5, suspectShare: 0.5 }
+export const SELECTOR_TUNING: SelectorTuning = { ...STRAGGLER_TUNING, scoreWeight: 2, suspectShare: 0.5 }
 
 type ServiceTimes = { [L in LengthClass]: number }
 
--- a/packages/core/src/limits/zone-presence.ts
+++ b/packages/core/src/limits/zone-presence.ts
@@ -36,6 +36,8 @@
   configured: number
   /** All configured instances were present, so only the rows need a check. */
   full: boolean
+  /** Time of the last check. One decision asks for every upstream of a zone at the same time. */
+  checkedAt: number
   unknown: number
   unknownSince: number
 }
@@ -105,18 +107,22 @@
       allAbsentSince: present.length > 0 ? undefined : since.length === 0 ? grace : Math.max(...since),
       returns
     }
-    return { value, ids, configured, full: missing === 0, unknown, unknownSince }
+    return { value, ids, configured, full: missing === 0, checkedAt: now, unknown, unknownSince }
   }
 
   return (zone, now) => {
     const grace = graceEnd ??= now + SILENT_AFTER_MS
-    const ids = idsOf(zone, now)
     const configured = configuration.zone(zone)?.instances ?? 0
     const memo = memos.get(zone)
+    if (memo !== undefined && memo.full && memo.checkedAt === now && memo.configured === configured) return memo.value
+    const ids = idsOf(zone, now)
     if (memo !== undefined && memo.full && memo.ids === ids && memo.configured === configured) {
       let present = true
       for (const id of ids) present &&= isPresent(world.instances.get(id) as Instance, now, grace)
-      if (present) return memo.value
+      if (present) {
+        memo.checkedAt = now
+        return memo.value
+      }
     }
     const next = compute(zone, ids, configured, memo, now, grace)
     memos.set(zone, next)
