Reduce the look-ups of one selection

Change: presence is checked once per moment, missing rows are looked for in small groups only, and the exposure of both lengths is added without a loop.

--- a/packages/core/src/limits/group-index.ts
+++ b/packages/core/src/limits/group-index.ts
@@ -1,11 +1,15 @@
 /**
  * Ids of a table's rows by group. Tables have no change counter, so the index is rebuilt when the table's size
- * changes, when a known row is missing, and at intervals.
+ * changes, when a known row of a small group is missing, and at intervals. An id can therefore name a row that was
+ * removed a moment ago.
  */
 
 /** Time after which an addition that left the size of the table unchanged is seen at the latest. */
 const REBUILD_MS = 250
 
+/** Largest group whose rows are all looked up each time. */
+const CHECKED_GROUP = 64
+
 /** Gives the ids of a group. The same array is returned until the index is rebuilt. */
 export type GroupIndex = (group: string, now: number) => readonly string[]
 
@@ -32,6 +36,7 @@
   return (group, now) => {
     if (table.size !== size || now - builtAt >= REBUILD_MS) rebuild(now)
     const ids = groups.get(group) ?? NONE
+    if (ids.length > CHECKED_GROUP) return ids
     for (const id of ids) {
       if (table.has(id)) continue
       rebuild(now)
--- a/packages/core/src/limits/straggler-detector.ts
+++ b/packages/core/src/limits/straggler-detector.ts
@@ -37,7 +37,6 @@
   updatedAt: number
 }
 
-const LENGTHS: readonly LengthClass[] = ['short', 'long']
 /** Factor of the alternative assumption. Stragglers of the workloads are about 8 times slower. */
 const SLOWDOWN = 8
 const EXPOSURE_GAIN = 1 - 1 / SLOWDOWN
@@ -65,19 +64,20 @@
   }
 }
 
+function exposureOf (pace: Pace, length: LengthClass, usualMs: number, elapsed: number, now: number): number {
+  if (pace.active[length] === 0) return 0
+  const meanMs = Math.max(LEAST_MEAN_MS, pace.meanMs[length] ?? usualMs)
+  const old = pace.suspect && now - pace.suspectSince > OLD_ATTEMPTS_SERVICE_TIMES * meanMs
+  return elapsed / meanMs * (old ? pace.probes[length] : pace.active[length])
+}
+
 /** Adds the exposure since the last update. `usualMs` are the service times for lengths without a mean. */
 export function advancePace (pace: Pace, usualMs: { readonly [L in LengthClass]: number }, tuning: StragglerTuning, now: number): void {
   const elapsed = now - pace.updatedAt
   if (elapsed <= 0) return
   pace.updatedAt = now
-  if (pace.active.short + pace.active.long === 0) return
-  let exposure = 0
-  for (const length of LENGTHS) {
-    if (pace.active[length] === 0) continue
-    const meanMs = Math.max(LEAST_MEAN_MS, pace.meanMs[length] ?? usualMs[length])
-    const old = pace.suspect && now - pace.suspectSince > OLD_ATTEMPTS_SERVICE_TIMES * meanMs
-    exposure += elapsed / meanMs * (old ? pace.probes[length] : pace.active[length])
-  }
+  const exposure = exposureOf(pace, 'short', usualMs.short, elapsed, now) + exposureOf(pace, 'long', usualMs.long, elapsed, now)
+  if (exposure === 0) return
   pace.score = Math.min(tuning.cap, pace.score + exposure * EXPOSURE_GAIN)
   if (!pace.suspect && pace.score >= tuning.suspectAt) suspectPace(pace, tuning, now)
 }
--- a/packages/core/src/limits/zone-presence.ts
+++ b/packages/core/src/limits/zone-presence.ts
@@ -2,6 +2,7 @@
  * Which entry instances of a zone are present, and since when the others are absent. An instance that was never heard
  * counts as present for the first three seconds of this instance, because its heartbeat may still be on the way.
  */
+import type { Configuration } from '../configuration.js'
 import type { Instance, World } from '../tables.js'
 import type { ConfigurationIndex } from './configuration-index.js'
 import { createGroupIndex } from './group-index.js'
@@ -33,7 +34,7 @@
 interface Memo {
   value: Presence
   ids: readonly string[]
-  configured: number
+  configuration: Configuration | undefined
   /** All configured instances were present, so only the rows need a check. */
   full: boolean
   /** Time of the last check. One decision asks for every upstream of a zone at the same time. */
@@ -58,7 +59,8 @@
   const memos = new Map<string, Memo>()
   let graceEnd: number | undefined
 
-  function isPresent (row: Instance, now: number, grace: number): boolean {
+  function isPresent (row: Instance | undefined, now: number, grace: number): boolean {
+    if (row === undefined) return false
     if (row.heardAt === -Infinity) return now < grace
     // A leaving instance ends without a further mark, so its last heartbeat decides.
     if (row.state === 'leaving') return now - row.heardAt < SILENT_AFTER_MS
@@ -107,24 +109,20 @@
       allAbsentSince: present.length > 0 ? undefined : since.length === 0 ? grace : Math.max(...since),
       returns
     }
-    return { value, ids, configured, full: missing === 0, checkedAt: now, unknown, unknownSince }
+    return { value, ids, configuration: world.configuration, full: missing === 0, checkedAt: now, unknown, unknownSince }
   }
 
   return (zone, now) => {
     const grace = graceEnd ??= now + SILENT_AFTER_MS
-    const configured = configuration.zone(zone)?.instances ?? 0
     const memo = memos.get(zone)
-    if (memo !== undefined && memo.full && memo.checkedAt === now && memo.configured === configured) return memo.value
+    const unchanged = memo !== undefined && memo.full && memo.configuration === world.configuration
+    if (unchanged && memo.checkedAt === now) return memo.value
     const ids = idsOf(zone, now)
-    if (memo !== undefined && memo.full && memo.ids === ids && memo.configured === configured) {
-      let present = true
-      for (const id of ids) present &&= isPresent(world.instances.get(id) as Instance, now, grace)
-      if (present) {
-        memo.checkedAt = now
-        return memo.value
-      }
+    if (unchanged && memo.ids === ids && ids.every(id => isPresent(world.instances.get(id), now, grace))) {
+      memo.checkedAt = now
+      return memo.value
     }
-    const next = compute(zone, ids, configured, memo, now, grace)
+    const next = compute(zone, ids, configuration.zone(zone)?.instances ?? 0, memo, now, grace)
     memos.set(zone, next)
     return next.value
   }
