--- a/packages/core/src/tables.ts
+++ b/packages/core/src/tables.ts
@@ -3,6 +3,8 @@
  */
 import type { Configuration, LengthClass, RequestKind } from './configuration.js'
 import type { Headroom } from './heartbeat.js'
+import type { InstanceMap } from './instance-map.js'
+import type { BlockTable } from './lookup/block-table.js'
 
 /** Another entry instance. */
 export interface Instance {
@@ -27,7 +29,7 @@
   readonly zone: string
   readonly address: string
   readonly state: 'live' | 'leaving'
-  /** Monotonic time at which the upstream was first listed. */
+  /** Monotonic time at which the upstream was first listed; `-Infinity` if it was in the first list. */
   readonly listedAt: number
   /** Monotonic time at which the leaving mark was first seen. */
   readonly leavingAt?: number
@@ -70,10 +72,12 @@
   readonly self: Self
   /** Present once a configuration was received. */
   configuration: Configuration | undefined
-  readonly instances: Map<string, Instance>
+  readonly instances: InstanceMap
   readonly upstreams: Map<string, Upstream>
   readonly requests: Map<string, Request>
   readonly attempts: Map<string, Attempt>
+  /** Client blocks. Absent until they were read. */
+  clientBlocks: BlockTable | undefined
   /** Set by a planned stop. */
   stoppingSince: number | undefined
 }
