Reduce the cost of a request in routing

Cause: a profile put 32% of the time of a request into createProgress, which spread its options into a literal. Ruled out: the timer heap and the decision log, 1% and 3% of the profile. Change: literals of one shape for progress, attempts and request rows; no set for a request that was not refused.

--- a/packages/core/src/routing/arrival.ts
+++ b/packages/core/src/routing/arrival.ts
@@ -41,7 +41,7 @@
     ? context.parts.origin(event.client)
     : { zone: forwarded.keyHome ? context.world.self.zone : forwarded.originZone, tenant: forwarded.tenant }
   const timeoutMs = event.timeoutMs ?? service?.deadlineMs ?? FALLBACK_DEADLINE_MS
-  const request: Request = {
+  return {
     id: event.requestId,
     service: event.service,
     kind: route?.kind ?? (claim === undefined ? 'plain' : 'protected'),
@@ -52,12 +52,10 @@
     deadlineAt: now + timeoutMs,
     state: 'running',
     contentLength: event.contentLength ?? 0,
-    refusals: 0
-  }
-  return {
-    ...request,
-    ...(event.key === undefined ? {} : { key: event.key }),
-    ...(forwarded === undefined ? {} : { forwardedBy: forwarded.instanceId })
+    refusals: 0,
+    // Set also when undefined: rows of one shape are faster than rows with absent properties.
+    key: event.key,
+    forwardedBy: forwarded?.instanceId
   }
 }
 
--- a/packages/core/src/routing/attempt-table.ts
+++ b/packages/core/src/routing/attempt-table.ts
@@ -5,6 +5,7 @@
 import type { RoutingParts } from './routing-parts.js'
 import type { Progress } from './progress.js'
 import { createOutstanding } from '../limits/outstanding.js'
+import { exclude } from './progress.js'
 
 /** How an attempt ended. `unreachable`: refused because the connection failed before the first write. */
 export type AttemptEnd = 'finished' | 'refused' | 'unreachable' | 'failed' | 'cancelled'
@@ -48,7 +49,10 @@
   return {
     start (request, progress, start, now) {
       created += 1
-      const attempt: Attempt = { id: `a${created}`, requestId: request.id, startedAt: now, state: 'created', ...start }
+      const { target, zone, hedge } = start
+      const attempt: Attempt = {
+        id: `a${created}`, requestId: request.id, target, zone, startedAt: now, state: 'created', hedge
+      }
       world.attempts.set(attempt.id, attempt)
       progress.open = [...progress.open, attempt.id]
       if (attempt.target.type === 'instance') {
@@ -74,7 +78,7 @@
       progress.ended.push({ target: attempt.target.id, zone: attempt.zone, end: ended })
       const refused = ended === 'refused' || ended === 'unreachable'
       if (!refused && (attempt.state !== 'created' || ended === 'failed')) progress.possiblyRun = true
-      if (refused || ended === 'failed') progress.tried.add(attempt.target.id)
+      if (refused || ended === 'failed') exclude(progress, attempt.target.id)
       reportEnd(attempt, ended, now)
     },
     forwardsTo: forwards.count
--- a/packages/core/src/routing/placement.ts
+++ b/packages/core/src/routing/placement.ts
@@ -6,6 +6,7 @@
 import type { Progress } from './progress.js'
 import type { RoutingContext, Step } from './routing-context.js'
 import { refuse } from './completion.js'
+import { forgetTried } from './progress.js'
 import { setState } from './routing-context.js'
 import { ownWaitMs, selectPeer } from './zone-selector.js'
 
@@ -84,7 +85,7 @@
   if (!context.queues.push(request)) return false
   recordMove(context, request, progress, context.world.self.zone, step.now)
   // An upstream that refused may accept the request after the wait.
-  progress.tried = new Set()
+  forgetTried(progress)
   setState(context, request, 'queued')
   return true
 }
--- a/packages/core/src/routing/progress.ts
+++ b/packages/core/src/routing/progress.ts
@@ -12,7 +12,7 @@
   /** Ids of the attempts that have not ended. */
   open: readonly string[]
   /** Targets that refused or failed this request and are not selected again. */
-  tried: Set<string>
+  tried: ReadonlySet<string>
   readonly ended: EndedAttempt[]
   dispatches: number
   forwards: number
@@ -41,19 +41,37 @@
   return progress.possiblyRun || openWritten || (progress.keyHome !== undefined && !progress.refusedByHome)
 }
 
+const NONE: ReadonlySet<string> = new Set()
+
 /** Creates the progress of a request without attempts. */
-export function createProgress (options: Pick<Progress, 'holdsKey' | 'keyHome' | 'onlyHere' | 'singleUseBody'>): Progress {
+export function createProgress (
+  options: Pick<Progress, 'holdsKey' | 'keyHome' | 'onlyHere' | 'singleUseBody'>
+): Progress {
+  // Written out: spreading `options` took a third of the time of a request.
   return {
-    ...options,
     open: [],
-    tried: new Set(),
+    tried: NONE,
     ended: [],
     dispatches: 0,
     forwards: 0,
     possiblyRun: false,
     answeredBy: undefined,
     callerGone: false,
+    holdsKey: options.holdsKey,
+    keyHome: options.keyHome,
     refusedByHome: false,
+    onlyHere: options.onlyHere,
+    singleUseBody: options.singleUseBody,
     moved: false
   }
 }
+
+/** Excludes a target from later attempts. */
+export function exclude (progress: Progress, targetId: string): void {
+  progress.tried = new Set(progress.tried).add(targetId)
+}
+
+/** Makes all targets selectable again. */
+export function forgetTried (progress: Progress): void {
+  progress.tried = NONE
+}
--- a/packages/core/src/routing/request-queues.ts
+++ b/packages/core/src/routing/request-queues.ts
@@ -51,6 +51,7 @@
       stale.add(queuesOf(request.service)[request.length])
     },
     removeEnded (ended) {
+      if (stale.size === 0) return
       for (const queue of stale) queue.remove(ended)
       stale.clear()
     }
