Count forwards once and use peers again as forwards to them end

Peers of the own zone were no candidates; the forwards that a heartbeat already includes were counted a second time; one refusal closed a peer until its next heartbeat. Change: peer-load.ts replaces peer-refusals.ts; peers of the own zone are candidates.

--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -13,7 +13,7 @@
 import { createConfigurationSystem } from './configuration/configuration-system.js'
 import { makePlan } from './configuration/make-plan.js'
 import { createWorld, runSystems } from './engine.js'
-import { createLookup } from './lookup/lookup.js'
+import { lookup } from './lookup/lookup.js'
 import { createMembershipSystem } from './membership/membership-system.js'
 import { createRoutingParts } from './routing/create-routing-parts.js'
 import { createRouting } from './routing/routing-system.js'
@@ -104,12 +104,11 @@
   const parts = createRoutingParts(world, options.seed)
   const routing = createRouting(world, parts)
   const membership = createMembershipSystem(world, { headroom: () => routing.headroom(monotonicNow()) })
-  const lookup = createLookup(world)
   // Membership reads the target of an attempt before routing ends it; shutdown looks for requests that routing left.
   const systems = [createConfigurationSystem(world), membership, routing.system, createShutdownSystem(world)]
   return {
     handle: event => runSystems(systems, event, monotonicNow()),
-    lookup: query => lookup(query, monotonicNow()),
+    lookup: query => lookup(world, query),
     issueKeys: count => parts.keys.issue(count, monotonicNow()),
     plan: operations => world.configuration === undefined
       ? err({ reason: 'no-configuration' })
--- a/packages/core/src/routing/attempt-events.ts
+++ b/packages/core/src/routing/attempt-events.ts
@@ -8,7 +8,7 @@
 import type { RoutingContext, Step } from './routing-context.js'
 import { cancelOpen, complete, refuse } from './completion.js'
 import { place } from './placement.js'
-import { sameRegion, setState } from './routing-context.js'
+import { distance, sameRegion, setState } from './routing-context.js'
 
 /** Attempts of one request, including forwards and hedges. Bounds the work that refusals by all targets can cause. */
 export const MAX_ATTEMPTS = 4
@@ -46,8 +46,7 @@
 
 function observeTrip (context: RoutingContext, { attempt, request }: Found, serviceMs: number, now: number): void {
   if (attempt.target.type !== 'instance' || request.length !== 'short') return
-  const near = sameRegion(context, context.world.self.zone, attempt.zone)
-  context.trips.observe(attempt.zone, now - attempt.startedAt - serviceMs, near)
+  context.trips.observe(attempt.zone, now - attempt.startedAt - serviceMs, distance(context, attempt.zone))
 }
 
 /** The first byte was handed to the socket. */
@@ -70,7 +69,7 @@
   const request = { ...found.request, refusals: found.request.refusals + 1 }
   context.world.requests.set(request.id, request)
   if (attempt.target.type === 'instance' && progress.keyHome === undefined) {
-    context.peerRefusals.record(attempt.target.id, request.service, request.length, step.now)
+    context.peerLoad.recordRefusal(attempt.target.id, request.service, request.length, step.now)
   }
   if (shed) observeTrip(context, found, 0, step.now)
   if (progress.open.length > 0) return request.service
--- a/packages/core/src/routing/attempt-table.ts
+++ b/packages/core/src/routing/attempt-table.ts
@@ -2,9 +2,9 @@
  * Owns the attempts table. Keeps the index of outstanding attempts, so that no decision scans the table, and reports starts and ends to the upstream selector and the slot limits.
  */
 import type { Attempt, Request, World } from '../tables.js'
+import type { PeerLoad } from './peer-load.js'
 import type { RoutingParts } from './routing-parts.js'
 import type { Progress } from './progress.js'
-import { createOutstanding } from '../limits/outstanding.js'
 import { exclude } from './progress.js'
 
 /** How an attempt ended. `unreachable`: refused because the connection failed before the first write. */
@@ -24,8 +24,6 @@
   advance (attemptId: string, state: Attempt['state']): Attempt | undefined
   /** Removes the attempt and records its end in the progress. */
   end (attempt: Attempt, progress: Progress, ended: AttemptEnd, now: number): void
-  /** Attempts at another instance that have not ended. */
-  forwardsTo (instanceId: string): number
 }
 
 /** A connection failure counts as a failure of the upstream, not as load that it shed. */
@@ -34,12 +32,15 @@
 } as const
 
 /** Creates the owner of `world.attempts`. */
-export function createAttemptTable (world: World, parts: RoutingParts): AttemptTable {
-  const forwards = createOutstanding()
+export function createAttemptTable (world: World, parts: RoutingParts, peers: PeerLoad): AttemptTable {
   let created = 0
 
   function reportEnd (attempt: Attempt, ended: AttemptEnd, now: number): void {
-    if (attempt.target.type === 'instance') return forwards.remove(attempt.target.id, attempt.id)
+    if (attempt.target.type === 'instance') {
+      const service = world.requests.get(attempt.requestId)?.service
+      if (service !== undefined) peers.recordEnd(attempt.target.id, service)
+      return
+    }
     parts.outstanding.remove(attempt.target.id, attempt.id)
     parts.upstreams.recordEnd(attempt.target.id, attempt.id, SELECTOR_END[ended], now)
     if (ended === 'refused') parts.slots.recordRefusal(attempt.target.id, now)
@@ -57,7 +58,7 @@
       progress.open = [...progress.open, attempt.id]
       if (attempt.target.type === 'instance') {
         progress.forwards += 1
-        forwards.add(attempt.target.id, attempt.id, request.length, now)
+        peers.recordStart(attempt.target.id, request.service)
       } else {
         progress.dispatches += 1
         parts.outstanding.add(attempt.target.id, attempt.id, request.length, now)
@@ -80,7 +81,6 @@
       if (!refused && (attempt.state !== 'created' || ended === 'failed')) progress.possiblyRun = true
       if (refused || ended === 'failed') exclude(progress, attempt.target.id)
       reportEnd(attempt, ended, now)
-    },
-    forwardsTo: forwards.count
+    }
   }
 }
--- a/packages/core/src/routing/routing-context.ts
+++ b/packages/core/src/routing/routing-context.ts
@@ -7,17 +7,17 @@
 import type { ConfigurationIndex } from '../limits/configuration-index.js'
 import type { DecisionLog } from './decision-log.js'
 import type { Hosting } from './hosting.js'
-import type { PeerRefusals } from './peer-refusals.js'
+import type { PeerLoad } from './peer-load.js'
 import type { Progress } from './progress.js'
 import type { RequestQueues } from './request-queues.js'
-import type { RoundTrips } from './round-trips.js'
+import type { Distance, RoundTrips } from './round-trips.js'
 import type { RoutingParts } from './routing-parts.js'
 import type { TimerHeap } from './timer-heap.js'
 import { createAttemptTable } from './attempt-table.js'
 import { createConfigurationIndex } from '../limits/configuration-index.js'
 import { createDecisionLog } from './decision-log.js'
 import { createHosting } from './hosting.js'
-import { createPeerRefusals } from './peer-refusals.js'
+import { createPeerLoad } from './peer-load.js'
 import { createRequestQueues } from './request-queues.js'
 import { createRoundTrips } from './round-trips.js'
 import { createTimerHeap } from './timer-heap.js'
@@ -35,7 +35,7 @@
   readonly hedgeTimers: TimerHeap
   readonly decisions: DecisionLog
   readonly trips: RoundTrips
-  readonly peerRefusals: PeerRefusals
+  readonly peerLoad: PeerLoad
   /** Rows of the current configuration by key. */
   readonly rows: ConfigurationIndex
   readonly hosting: Hosting
@@ -49,17 +49,18 @@
 
 /** Creates the shared state. */
 export function createRoutingContext (world: World, parts: RoutingParts): RoutingContext {
+  const peerLoad = createPeerLoad()
   return {
     world,
     parts,
-    attempts: createAttemptTable(world, parts),
+    attempts: createAttemptTable(world, parts, peerLoad),
     progress: new Map(),
     queues: createRequestQueues(parts.createQueue),
     deadlines: createTimerHeap(),
     hedgeTimers: createTimerHeap(),
     decisions: createDecisionLog(),
     trips: createRoundTrips(),
-    peerRefusals: createPeerRefusals(),
+    peerLoad,
     rows: createConfigurationIndex(world),
     hosting: createHosting(world)
   }
@@ -73,6 +74,12 @@
   return changed
 }
 
+/** How far a zone is from the own one. */
+export function distance (context: RoutingContext, zone: string): Distance {
+  if (zone === context.world.self.zone) return 'zone'
+  return sameRegion(context, zone, context.world.self.zone) ? 'region' : 'elsewhere'
+}
+
 /** Whether two zones are in the same region; `false` when either is not configured. */
 export function sameRegion (context: RoutingContext, a: string, b: string): boolean {
   const region = context.rows.zone(a)?.region
--- a/packages/core/src/routing/routing-system.ts
+++ b/packages/core/src/routing/routing-system.ts
@@ -59,11 +59,15 @@
       'attempt-finished': (event, now) => run(now, step => attemptFinished(context, event, step)),
       'attempt-failed': (event, now) => run(now, step => attemptFailed(context, event, step)),
       'request-cancelled': (event, now) => run(now, step => cancelRequest(context, event, step)),
+      'heartbeat-received': event => {
+        context.peerLoad.recordHeadroom(event.heartbeat.instanceId)
+        return []
+      },
       tick: (_event, now) => run(now, step => {
         expireDue(context, step)
         sweepQueues(context)
         serveAll(context, step)
-        context.peerRefusals.forget(id => world.instances.has(id))
+        context.peerLoad.forget(id => world.instances.has(id))
         return undefined
       })
     }
--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -1,14 +1,15 @@
 /**
- * Selects among the own zone's queue and the entry instances of other zones, by expected wait.
+ * Selects among the own queue and other entry instances, by expected wait. Instances of the own zone count as well:
+ * each may use only its share of the zone's slots, so a peer may have a free one while this instance has none.
  */
 import type { LengthClass } from '../configuration.js'
 import type { Reason } from '../reason.js'
 import type { Instance, Request } from '../tables.js'
 import type { Progress } from './progress.js'
 import type { RoutingContext } from './routing-context.js'
-import { sameRegion } from './routing-context.js'
+import { distance } from './routing-context.js'
 
-/** The best instance of another zone, or why there is none. */
+/** The best other instance, or why there is none. */
 export interface ZoneChoice {
   readonly instance: Instance | undefined
   /** Expected wait including the round trip, in milliseconds; `Infinity` without an instance. */
@@ -31,12 +32,13 @@
   return ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
 }
 
-/** Wait at a peer by its last heartbeat, counting what was forwarded to it and has not ended. */
+/** Wait at a peer. One that refused has no queue for forwarded work, so only a free slot counts there. */
 function peerWaitMs (context: RoutingContext, instance: Instance, request: Request): number {
   const headroom = instance.headroom.get(request.service)
   if (headroom === undefined || headroom.slots === 0) return Infinity
-  const free = headroom.free - context.attempts.forwardsTo(instance.id)
+  const { free, refused } = context.peerLoad.freeSlots(instance, request.service, request.length)
   if (free > 0) return 0
+  if (refused) return Infinity
   const ahead = headroom.queued + 1 - free
   return ahead * context.parts.upstreams.expectedServiceMs(request.service, request.length) / headroom.slots
 }
@@ -50,17 +52,15 @@
   return context.parts.links.waitMs(from, to, request.contentLength, request.length, now)
 }
 
-/** Selects the instance of another zone with the least expected wait that ends before the deadline. */
+/** Selects the other instance with the least expected wait that ends before the deadline. */
 export function selectPeer (context: RoutingContext, request: Request, progress: Progress, now: number): ZoneChoice {
   let choice: ZoneChoice = { instance: undefined, waitMs: Infinity, blocked: undefined }
-  const { self, instances } = context.world
+  const { instances } = context.world
   const leftMs = request.deadlineAt - now
   for (const instance of instances.values()) {
-    if (instance.state !== 'live' || instance.zone === self.zone || progress.tried.has(instance.id)) continue
+    if (instance.state !== 'live' || progress.tried.has(instance.id)) continue
     if (!context.hosting.accepts(request.service, instance.zone)) continue
-    if (context.peerRefusals.applies(instance, request.service, request.length)) continue
-    const near = sameRegion(context, self.zone, instance.zone)
-    const waitMs = context.trips.estimateMs(instance.zone, near) + peerWaitMs(context, instance, request)
+    const waitMs = context.trips.estimateMs(instance.zone, distance(context, instance.zone)) + peerWaitMs(context, instance, request)
     if (waitMs >= leftMs || waitMs >= choice.waitMs) continue
     const moves = instance.zone !== request.originZone
     if (moves && !context.parts.shifts.mayMove(request.service, request.originZone, instance.zone, now)) {
