--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './daemon.js'
+export type { Emit } from './event-source.js'
