--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -19,11 +19,11 @@
 import { createIntake } from './intake.js'
 import { startLoadPoll } from './load-poll.js'
 import { createOperatorHandler } from './operator-server.js'
-import { createOwnHeartbeat } from './own-heartbeat.js'
 import { createPeerClient } from './peer-client.js'
 import { createPeerHandler } from './peer-server.js'
 import { startPlatformSync } from './platform-sync.js'
 import { createRequestIds } from './request-ids.js'
+import { services } from './service-index.js'
 import { createUpstreamClient } from './upstream-client.js'
 
 /** A running entry instance. */
@@ -73,7 +73,6 @@
   const emit: Emit = event => events.push(event)
   const exchanges = new Map<string, Exchange>()
   const ids = createRequestIds()
-  const ownHeartbeat = createOwnHeartbeat(engine)
   const peerClient = createPeerClient({
     peerToken: settings.peerToken, configuration: engine.configuration, emit, telemetry
   })
@@ -82,7 +81,7 @@
     peerToken: settings.peerToken,
     idleTimeoutMs: limits.idleTimeoutMs,
     exchanges,
-    refusalHeader: id => engine.configuration()?.services.find(row => row.id === id)?.refusalHeader ?? DEFAULT_REFUSAL_HEADER,
+    refusalHeader: id => services(engine.configuration()).get(id)?.refusalHeader.toLowerCase() ?? DEFAULT_REFUSAL_HEADER,
     emit,
     telemetry
   })
@@ -93,10 +92,7 @@
   const execute = createExecutor({
     exchanges,
     upstreamClient,
-    sendHeartbeat: command => {
-      ownHeartbeat.keep(command.heartbeat)
-      peerClient.sendHeartbeat(command)
-    },
+    sendHeartbeat: peerClient.sendHeartbeat,
     pullConfiguration: peerClient.pullConfiguration,
     onStopped: () => onStopped(),
     telemetry
@@ -130,9 +126,9 @@
   })
   ports.caller.serve(createCallerHandler({ instanceId, engine, intake, telemetry }))
   ports.operator.serve(createOperatorHandler({
-    engine, operatorToken: settings.operatorToken, confirm, ownHeartbeat, ids, telemetry
+    engine, operatorToken: settings.operatorToken, confirm, ids, telemetry
   }))
-  ports.peer.serve(createPeerHandler({ engine, emit, intake, ownHeartbeat, peerToken: settings.peerToken, telemetry }))
+  ports.peer.serve(createPeerHandler({ engine, emit, intake, peerToken: settings.peerToken, telemetry }))
   telemetry.log('instance-started', {
     instanceId,
     zone,
