Check files as strictly as a plan, and commits against hanging calls

Cause: arbutustray check accepted rows that a plan refuses, such as a link of a region with itself. Ruled out: a copy of core's checks in the schema of configuration files.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,9 +1,14 @@
 /**
  * `arbutustray check`: checks a file without sending anything.
  */
+import type { ConfigurationFile } from '@arbutustray/settings'
+import type { Result } from 'neverthrow'
 import type { ExitCode } from '../exit-code.js'
+import { applyOperations, EMPTY_CONFIGURATION, problemText } from '@arbutustray/core'
 import { configurationFile, entrySettings } from '@arbutustray/settings'
 import { Command, Option } from 'clipanion'
+import { ok } from 'neverthrow'
+import { difference } from '../difference.js'
 import { EXIT } from '../exit-code.js'
 import { readChecked } from '../read-file.js'
 import { PrintingCommand } from './operator-command.js'
@@ -18,8 +23,7 @@
   file = Option.String({ name: 'FILE' })
 
   override async execute (): Promise<ExitCode> {
-    const checked = await readChecked<typeof entrySettings | typeof configurationFile>(
-      this.file, this.settings ? entrySettings : configurationFile)
+    const checked = this.settings ? await readChecked(this.file, entrySettings) : await this.checkConfiguration()
     if (checked.isErr()) {
       this.note(checked.error)
       return EXIT.usage
@@ -27,4 +31,15 @@
     this.print(checked.value, `${this.file}: valid`)
     return EXIT.ok
   }
+
+  /** Also runs the checks of a plan, if the file contains the tables that other rows name. */
+  private async checkConfiguration (): Promise<Result<ConfigurationFile, string>> {
+    const checked = await readChecked(this.file, configurationFile)
+    return checked.andThen(file => {
+      if (file.regions === undefined || file.zones === undefined || file.services === undefined) return ok(file)
+      return applyOperations(EMPTY_CONFIGURATION, difference(EMPTY_CONFIGURATION, file))
+        .map(() => file)
+        .mapErr(problems => problems.map(problem => `${this.file}: ${problemText(problem)}`).join('\n'))
+    })
+  }
 }
--- a/packages/cli/tests/real/cli.test.ts
+++ b/packages/cli/tests/real/cli.test.ts
@@ -121,6 +121,8 @@
       const result = await run(command, file)
       expect([result.code, result.stderr]).toEqual([EXIT.usage, expect.stringContaining(`${file}:2: regions[0].id: expected string`)])
     }
+    await writeFile(file, '{ "regions": [{ "id": "r" }], "zones": [], "services": [], "links": [{ "from": "r", "to": "r", "mbitPerSecond": 1 }] }')
+    expect((await run('check', file)).stderr).toBe(`${file}: links r>r: a link joins two different regions\n`)
     expect(received).toEqual([])
   })
 
--- a/packages/platform/tests/configuration-writer.test.ts
+++ b/packages/platform/tests/configuration-writer.test.ts
@@ -67,6 +67,15 @@
     expect((await commit(createConfigurationWriter({ store: platform }), 'x', 0))._unsafeUnwrapErr().type).toBe('conflict')
   })
 
+  it('answers at its deadline while a call hangs, guarding against a confirmation without an answer', async () => {
+    const platform = createMemoryPlatform()
+    const hang = async (): Promise<never> => await new Promise(() => {})
+    const read = createConfigurationWriter({ store: { ...platform, get: hang } }).commit(change('a'))
+    const write = createConfigurationWriter({ store: { ...platform, put: hang } }).commit(change('a'))
+    await vi.advanceTimersByTimeAsync(5_000)
+    expect([(await read)._unsafeUnwrapErr().type, (await write)._unsafeUnwrapErr().type]).toEqual(['unavailable', 'unknown'])
+  })
+
   it('does not write over a store that is older than the base, guarding against a rollback', async () => {
     const result = await commit(createConfigurationWriter({ store: createMemoryPlatform() }), 'a', 5)
     expect(result._unsafeUnwrapErr().type).toBe('rejected')
