Test the daemon against the real engine

Cause: drain, hedging, keys, forwarding, confirmation and outages were untested. The reply to a heartbeat comes from the engine. A load report is read up to 64 KiB: a test upstream with a long answer showed that it was read without limit.

--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -19,7 +19,6 @@
 import { createIntake } from './intake.js'
 import { startLoadPoll } from './load-poll.js'
 import { createOperatorHandler } from './operator-server.js'
-import { createOwnHeartbeat } from './own-heartbeat.js'
 import { createPeerClient } from './peer-client.js'
 import { createPeerHandler } from './peer-server.js'
 import { startPlatformSync } from './platform-sync.js'
@@ -74,7 +73,6 @@
   const emit: Emit = event => events.push(event)
   const exchanges = new Map<string, Exchange>()
   const ids = createRequestIds()
-  const ownHeartbeat = createOwnHeartbeat(engine)
   const peerClient = createPeerClient({
     peerToken: settings.peerToken, configuration: engine.configuration, emit, telemetry
   })
@@ -94,10 +92,7 @@
   const execute = createExecutor({
     exchanges,
     upstreamClient,
-    sendHeartbeat: command => {
-      ownHeartbeat.keep(command.heartbeat)
-      peerClient.sendHeartbeat(command)
-    },
+    sendHeartbeat: peerClient.sendHeartbeat,
     pullConfiguration: peerClient.pullConfiguration,
     onStopped: () => onStopped(),
     telemetry
@@ -131,9 +126,9 @@
   })
   ports.caller.serve(createCallerHandler({ instanceId, engine, intake, telemetry }))
   ports.operator.serve(createOperatorHandler({
-    engine, operatorToken: settings.operatorToken, confirm, ownHeartbeat, ids, telemetry
+    engine, operatorToken: settings.operatorToken, confirm, ids, telemetry
   }))
-  ports.peer.serve(createPeerHandler({ engine, emit, intake, ownHeartbeat, peerToken: settings.peerToken, telemetry }))
+  ports.peer.serve(createPeerHandler({ engine, emit, intake, peerToken: settings.peerToken, telemetry }))
   telemetry.log('instance-started', {
     instanceId,
     zone,
--- a/packages/entry/src/load-poll.ts
+++ b/packages/entry/src/load-poll.ts
@@ -15,6 +15,9 @@
 /** A report that takes longer is skipped; the next period tries again. */
 const TIMEOUT_MS = 800
 
+/** An upstream that answers with more than a report costs no more than this, in bytes. */
+const MAX_REPORT_BYTES = 65_536
+
 const LoadReport = z.object({ active: z.number().min(0), queued: z.number().min(0), at: z.union([z.number(), z.string()]) })
 
 /** When this process first saw the newest report of an upstream. */
@@ -35,7 +38,7 @@
 
 /** Starts the reading. */
 export function startLoadPoll ({ engine, emit, telemetry }: LoadPollOptions): LoadPoll {
-  const agent = new Agent({ connections: 1, connect: { timeout: TIMEOUT_MS } })
+  const agent = new Agent({ connections: 1, maxResponseSize: MAX_REPORT_BYTES, connect: { timeout: TIMEOUT_MS } })
   const sightings = new Map<string, Sighting>()
   let running = false
 
--- a/packages/entry/src/operator-server.ts
+++ b/packages/entry/src/operator-server.ts
@@ -10,7 +10,6 @@
 import type { Confirmation, ConfirmationAnswer } from './confirm.js'
 import type { RequestHandler } from './http-server.js'
 import { readJson } from './json-body.js'
-import type { OwnHeartbeat } from './own-heartbeat.js'
 import { sendJson } from './reject.js'
 import type { RequestIds } from './request-ids.js'
 import { readStatus, updateGauges } from './status.js'
@@ -20,7 +19,6 @@
   readonly engine: Engine
   readonly operatorToken: string
   readonly confirm: (confirmation: Confirmation) => Promise<ConfirmationAnswer>
-  readonly ownHeartbeat: OwnHeartbeat
   readonly ids: RequestIds
   readonly telemetry: Telemetry
 }
@@ -94,7 +92,7 @@
   }
 
   function health (_request: IncomingMessage, response: ServerResponse): void {
-    const { state } = readStatus(engine, options.ownHeartbeat)
+    const { state } = readStatus(engine)
     sendJson(response, state === 'ready' ? 200 : 503, { state })
   }
 
@@ -107,7 +105,7 @@
       sendJson(response, 503, { reason: 'no-configuration', message: REASONS['no-configuration'] })
     },
     'GET /v1/changes': (_request, response) => sendJson(response, 200, engine.configuration()?.recent ?? []),
-    'GET /v1/status': (_request, response) => sendJson(response, 200, readStatus(engine, options.ownHeartbeat)),
+    'GET /v1/status': (_request, response) => sendJson(response, 200, readStatus(engine)),
     'GET /v1/explain': explain,
     'GET /metrics': metrics
   }
--- a/packages/entry/src/peer-server.ts
+++ b/packages/entry/src/peer-server.ts
@@ -14,7 +14,6 @@
 import { fromMessage, toMessage } from './heartbeat-message.js'
 import type { RequestHandler } from './http-server.js'
 import type { Intake } from './intake.js'
-import type { OwnHeartbeat } from './own-heartbeat.js'
 import { reject, sendJson } from './reject.js'
 import { tokensEqual } from './token.js'
 
@@ -22,7 +21,6 @@
   readonly engine: Engine
   readonly emit: Emit
   readonly intake: Intake
-  readonly ownHeartbeat: OwnHeartbeat
   readonly peerToken: string
   readonly telemetry: Telemetry
 }
@@ -51,11 +49,11 @@
     options.intake(request, response, FORWARD_PREFIX, forwarded)
   }
 
-  function route (router: ConnectRouter, { emit, ownHeartbeat }: PeerOptions): void {
+  function route (router: ConnectRouter, { emit }: PeerOptions): void {
     router.service(Peer, {
       exchange: message => {
         emit({ type: 'heartbeat-received', heartbeat: fromMessage(message) })
-        return toMessage(ownHeartbeat.current())
+        return toMessage(engine.heartbeat())
       },
       pullConfiguration: ({ sinceVersion }) => {
         const configuration = engine.configuration()
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -3,7 +3,6 @@
  */
 import type { Engine, Headroom } from '@arbutustray/core'
 import type { Metrics } from '@arbutustray/telemetry'
-import type { OwnHeartbeat } from './own-heartbeat.js'
 
 /** Body of `GET /v1/status`. */
 export interface Status {
@@ -22,7 +21,7 @@
 }
 
 /** Reads the status from the engine's tables. */
-export function readStatus (engine: Engine, ownHeartbeat: OwnHeartbeat): Status {
+export function readStatus (engine: Engine): Status {
   const { self, instances, upstreams, attempts, stoppingSince } = engine.world
   const configuration = engine.configuration()
   const outstanding = countBy([...attempts.values()].map(attempt => attempt.target.id))
@@ -37,7 +36,7 @@
     upstreams: [...upstreams.values()].map(row => ({
       id: row.id, service: row.service, zone: row.zone, state: row.state, outstanding: outstanding.get(row.id) ?? 0
     })),
-    headroom: ownHeartbeat.current().headroom
+    headroom: engine.heartbeat().headroom
   }
 }
 
--- /dev/null
+++ b/packages/entry/tests/real/operator.test.ts
@@ -0,0 +1,109 @@
+import { EMPTY_CONFIGURATION } from '@arbutustray/core'
+import type { Operation } from '@arbutustray/core'
+import { startPlatform } from '@arbutustray/standins'
+import type { PlatformStandin } from '@arbutustray/standins'
+import { expect, it, onTestFinished, vi } from 'vitest'
+import { startEntry } from '../../src/index.js'
+import type { Entry } from '../../src/index.js'
+import { CONFIGURATION, answer, settings, startUpstream, upstreamRow, url } from './support.js'
+
+interface Setup { readonly platform: PlatformStandin, readonly entry: Entry }
+
+const DRAIN: Operation = { table: 'drains', put: { kind: 'upstream', target: 'u1' } }
+
+async function put (platform: PlatformStandin, version: number): Promise<void> {
+  const stored = await fetch(`${platform.url}/objects/configuration`)
+  const expected = stored.status === 404 ? 0 : (await stored.json() as { version: number }).version
+  const body = JSON.stringify({ ...CONFIGURATION, version })
+  await fetch(`${platform.url}/objects/configuration?expect=${expected}`, { method: 'PUT', headers: { 'content-type': 'application/json' }, body })
+}
+
+async function start (version?: number): Promise<Setup> {
+  const platform = await startPlatform()
+  onTestFinished(async () => await platform.close())
+  if (version !== undefined) await put(platform, version)
+  const entry = await startEntry(settings({ platformUrl: platform.url }))
+  onTestFinished(async () => await entry.close())
+  await vi.waitFor(() => expect(entry.engine.configuration()?.version).toBe(version ?? 0), { timeout: 3_000 })
+  return { platform, entry }
+}
+
+async function call (entry: Entry, method: string, path: string, body?: unknown, token = 'operator-token'): Promise<{ status: number, body: any }> {
+  const response = await fetch(`http://${entry.addresses.operator}${path}`, {
+    method, headers: { authorization: `Bearer ${token}` }, ...(body === undefined ? {} : { body: JSON.stringify(body) })
+  })
+  const text = await response.text()
+  return { status: response.status, body: text.startsWith('{') || text.startsWith('[') ? JSON.parse(text) : text }
+}
+
+async function confirmation (entry: Entry, operations: readonly Operation[], changeId: string): Promise<object> {
+  const { body: plan } = await call(entry, 'POST', '/v1/plans', { operations })
+  return { planId: plan.planId, baseVersion: plan.baseVersion, operations, changeId, actor: 'ana', reason: 'maintenance' }
+}
+
+it('answers only with the bearer token, guarding against changes by anyone', async () => {
+  const { entry } = await start(7)
+  for (const path of ['/v1/status', '/v1/configuration', '/metrics', '/v1/changes']) {
+    expect((await call(entry, 'GET', path, undefined, 'wrong')).status).toBe(401)
+    expect((await call(entry, 'GET', path)).status).toBe(200)
+  }
+  expect((await call(entry, 'GET', '/v1/status')).body).toMatchObject({ instanceId: 'i1', zone: 'zagreb-1', version: 7, state: 'ready' })
+  expect((await call(entry, 'GET', '/metrics')).body).toContain('arbutustray_configuration_version 7')
+  expect((await call(entry, 'GET', '/constructor')).status).toBe(404)
+})
+
+it('commits a confirmed plan once and refuses one that is out of date, guarding against changes nobody has seen', async () => {
+  const { entry } = await start(7)
+  const first = await confirmation(entry, [DRAIN], 'c1')
+  const stale = await confirmation(entry, [{ table: 'drains', put: { kind: 'upstream', target: 'u2' } }], 'c2')
+  expect(await call(entry, 'POST', '/v1/confirmations', first)).toEqual({ status: 200, body: { version: 8 } })
+  expect(await call(entry, 'POST', '/v1/confirmations', first)).toEqual({ status: 200, body: { version: 8 } })
+  const refused = await call(entry, 'POST', '/v1/confirmations', stale)
+  expect([refused.status, refused.body.plan.baseVersion]).toEqual([409, 8])
+  expect((await call(entry, 'GET', '/v1/changes')).body).toMatchObject([{ version: 8, changeId: 'c1', actor: 'ana' }])
+  const blocked = await confirmation(entry, [{ table: 'drains', put: { kind: 'zone', target: 'zagreb-1' } }], 'c3')
+  const answered = await call(entry, 'POST', '/v1/confirmations', blocked)
+  expect([answered.status, answered.body.blockers.length > 0]).toEqual([422, true])
+  expect((await call(entry, 'POST', '/v1/confirmations', { ...first, actor: 5 })).status).toBe(400)
+})
+
+it('settles a write whose reply was lost, guarding against a change that counts as refused and is in force', async () => {
+  const { platform, entry } = await start(7)
+  const change = await confirmation(entry, [DRAIN], 'c1')
+  platform.switches.loseReplies = 1
+  expect(await call(entry, 'POST', '/v1/confirmations', change)).toEqual({ status: 200, body: { version: 8 } })
+})
+
+it('starts from an empty platform with the first change, guarding against a system that can not be set up', async () => {
+  const { entry } = await start()
+  const change = await confirmation(entry, [{ table: 'regions', put: { id: 'zagreb' } }], 'c1')
+  expect(await call(entry, 'POST', '/v1/confirmations', change)).toEqual({ status: 200, body: { version: 1 } })
+  expect(entry.engine.configuration()?.regions).toEqual([{ id: 'zagreb' }])
+  expect(EMPTY_CONFIGURATION.regions).toEqual([])
+})
+
+it('serves through an outage of the platform and follows it afterwards, guarding against a store that stops requests', async () => {
+  const { platform, entry } = await start(7)
+  platform.putInstances([upstreamRow(await startUpstream((request, response) => answer(request, response, 200, 'ok')))])
+  await vi.waitFor(() => expect(entry.engine.world.upstreams.size).toBe(1), { timeout: 3_000 })
+  const change = await confirmation(entry, [DRAIN], 'c1')
+  platform.switches.down = true
+  await vi.waitFor(async () => expect((await call(entry, 'POST', '/v1/confirmations', change)).status).toBe(503), { timeout: 8_000 })
+  expect((await fetch(url(entry, '/v1/services/token/'))).status).toBe(200)
+  platform.switches.down = false
+  await put(platform, 9)
+  await vi.waitFor(() => expect(entry.engine.configuration()?.version).toBe(9), { timeout: 8_000 })
+})
+
+it('explains a request by the identity that the caller saw, guarding against answers that no auditor can trace', async () => {
+  const { platform, entry } = await start(7)
+  platform.putInstances([upstreamRow(await startUpstream((request, response) => answer(request, response, 200, 'ok')))])
+  await vi.waitFor(() => expect(entry.engine.world.upstreams.size).toBe(1), { timeout: 3_000 })
+  await (await fetch(url(entry, '/v1/services/token/'), { headers: { 'x-request-id': 'audit-1' } })).text()
+  await vi.waitFor(async () => {
+    expect(await call(entry, 'GET', '/v1/explain?request=audit-1')).toMatchObject({
+      status: 200, body: { requestId: 'audit-1', service: 'token', outcome: 'served', reason: 'home-zone', attempts: [{ target: 'u1' }] }
+    })
+  })
+  expect((await call(entry, 'GET', '/v1/explain?request=unseen')).status).toBe(404)
+})
