--- a/packages/entry/tests/real/peers.test.ts
+++ b/packages/entry/tests/real/peers.test.ts
@@ -102,7 +102,6 @@
 it('keeps a slow reader from filling the memory, guarding against answers without back pressure', async () => {
   let accepted = 0
   const upstream = await startUpstream(async (request, response) => {
-    if (request.url !== '/big') return answer(request, response, 404, '')
     const closed = new AbortController()
     response.on('close', () => closed.abort())
     response.writeHead(200, { 'x-request-id': String(request.headers['x-request-id']) })
--- a/packages/entry/tests/real/support.ts
+++ b/packages/entry/tests/real/support.ts
@@ -67,8 +67,12 @@
   response.end(body)
 }
 
+/** An upstream without a load report, so that the listener only sees requests of callers. */
 export async function startUpstream (listener: RequestListener): Promise<string> {
-  const server = createServer(listener)
+  const server = createServer((request, response) => {
+    if (request.url === '/load') answer(request, response, 404, '')
+    else listener(request, response)
+  })
   onTestFinished(() => { server.close().closeAllConnections() })
   return await listen(server)
 }
