Report writes before waiting events and close gaps around broken exchanges

Cause, from a review of the unit: an attempt-written event could wait behind a cancellation, so that a request that was written could be reported as not run; a connection made after a pause could send an expired request; a peer's own rejections had no x-request-id and counted as unknown; a write to a caller that had just left would have raised an unhandled error; a slow upstream let the idle time-out close the uploading caller. Change: attempt-written goes to the front of the queue, the deadline is checked before the write, rejections echo x-request-id, answers have an error listener, a paused upload is not idle.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -28,6 +28,8 @@
   /** Name of the header by which an upstream states a refusal, in lower case. */
   readonly refusalHeader: string
   readonly hop: Hop
+  /** Time until the deadline, in milliseconds. */
+  readonly timeoutMs: number
   readonly emit: Emit
   readonly telemetry: Telemetry
   /** Called once, before the event of the end is emitted. */
@@ -41,6 +43,7 @@
 
 /** Handler of one undici dispatch. */
 export class Attempt implements Dispatcher.DispatchHandler {
+  readonly #deadlineAt: number
   #controller: Dispatcher.DispatchController | undefined
   #cancelled = false
   #ended = false
@@ -53,12 +56,17 @@
   #resume: (() => void) | undefined
 
   constructor (readonly options: AttemptOptions) {
+    this.#deadlineAt = performance.now() + options.timeoutMs
     if (options.exchange.options.keyed) this.#recorded = []
   }
 
   /** undici calls this immediately before it writes the request; an abort inside it prevents the write. */
   onRequestStart (controller: Dispatcher.DispatchController): void {
     if (this.#cancelled) return controller.abort(new Error('cancelled'))
+    // A process that was paused while it connected must not send a request that has expired.
+    if (performance.now() > this.#deadlineAt) return controller.abort(new Error('deadline passed before the write'))
+    // undici does not repeat a request on a connection without pipelining; a second run must not hang on that.
+    if (this.#controller !== undefined) return controller.abort(new Error('second write'))
     this.#controller = controller
     this.options.emit({ type: 'attempt-written', attemptId: this.options.attemptId })
   }
--- a/packages/entry/src/event-source.ts
+++ b/packages/entry/src/event-source.ts
@@ -25,7 +25,10 @@
   }
 
   push (event: Event): void {
-    this.#waiting.push(event)
+    // A write has already happened. An event that waits must not be judged as if it had not, because then a request
+    // that may have run could be reported as not run.
+    if (event.type === 'attempt-written') this.#waiting.unshift(event)
+    else this.#waiting.push(event)
     if (this.#draining) return
     // Commands of a tick do not run inside `#drain`; their events follow when all of them are carried out.
     if (this.#busy) queueMicrotask(() => this.#drain())
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -100,7 +100,7 @@
   /** Hands over a part of the body. Returns false if the caller must read first; `onDrain` is called then. */
   write (chunk: Uint8Array, onDrain: () => void): boolean {
     const { response } = this.options
-    if (this.#ended || response.write(chunk)) return true
+    if (this.#ended || response.destroyed || response.write(chunk)) return true
     this.#onDrain = onDrain
     response.once('drain', onDrain)
     return false
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -57,6 +57,8 @@
   let handler: RequestHandler = request => request.destroy()
   const handle: RequestHandler = (request, response) => {
     live.set(request.socket, response)
+    // Node reports writes after the caller has left here; without a listener they would end the process.
+    response.on('error', ignore)
     handler(request, response)
   }
   const server = createServer({
@@ -83,9 +85,12 @@
   }
 }
 
-/** The caller has sent its request and read all that was written: the silence is not its fault. */
+function ignore (): void {}
+
+/** The caller has sent all that was read and has read all that was written: the silence is not its fault. */
 function waitsForUs (response: ServerResponse | undefined): boolean {
-  return response !== undefined && !response.writableEnded && response.req.complete && response.writableLength === 0
+  if (response === undefined || response.writableEnded || response.writableLength > 0) return false
+  return response.req.complete || response.req.readableFlowing !== true
 }
 
 function rejectUnparsed (error: NodeJS.ErrnoException, socket: Duplex, telemetry: Telemetry): void {
--- a/packages/entry/src/peer-server.ts
+++ b/packages/entry/src/peer-server.ts
@@ -14,7 +14,7 @@
 import { fromMessage, toMessage } from './heartbeat-message.js'
 import type { RequestHandler } from './http-server.js'
 import type { Intake } from './intake.js'
-import { reject, sendJson } from './reject.js'
+import { reject } from './reject.js'
 import { tokensEqual } from './token.js'
 
 export interface PeerOptions {
@@ -41,7 +41,7 @@
     const url = request.url ?? ''
     if (!tokensEqual(single(request.headers[HEADER.peerToken]), options.peerToken)) {
       telemetry.log('peer-rejected', { path: url.startsWith(FORWARD_PREFIX) ? FORWARD_PREFIX : 'call' })
-      return sendJson(response, 401, { message: 'peer token is missing or wrong' })
+      return reject(request, response, { status: 401, reason: 'request-malformed' }, telemetry)
     }
     if (!url.startsWith(FORWARD_PREFIX)) return calls(request, response)
     const forwarded = readForwarded(request)
--- a/packages/entry/src/reject.ts
+++ b/packages/entry/src/reject.ts
@@ -5,7 +5,7 @@
 import { REASONS } from '@arbutustray/core'
 import type { Reason } from '@arbutustray/core'
 import type { Telemetry } from '@arbutustray/telemetry'
-import { HEADER } from './headers.js'
+import { HEADER, single } from './headers.js'
 import { discardRest } from './request-body.js'
 
 export interface Rejection {
@@ -20,8 +20,12 @@
   countRejection({ status, reason }, telemetry)
   if (response.headersSent || response.destroyed) return
   response.on('finish', () => discardRest(request))
+  // A peer matches the answer by this header; without it the peer would have to assume that the request may have run.
+  const requestId = single(request.headers[HEADER.requestId])
   sendJson(response, status, { outcome: 'not-run', reason, message: REASONS[reason] }, {
-    [HEADER.outcome]: 'not-run', [HEADER.reason]: reason
+    [HEADER.outcome]: 'not-run',
+    [HEADER.reason]: reason,
+    ...(requestId === undefined ? {} : { [HEADER.requestId]: requestId })
   })
 }
 
--- a/packages/entry/src/upstream-client.ts
+++ b/packages/entry/src/upstream-client.ts
@@ -105,6 +105,7 @@
       target: route.target,
       refusalHeader: options.refusalHeader(exchange.options.service),
       hop,
+      timeoutMs: command.timeoutMs,
       emit: options.emit,
       telemetry: options.telemetry,
       onEnd: () => {
