--- a/packages/core/src/limits/slot-limits.ts
+++ b/packages/core/src/limits/slot-limits.ts
@@ -1,7 +1,7 @@
 /**
  * Limits on the slots of each upstream that this instance may use. The limit is the instance's share of the slots.
  * While other instances that own shares are absent it grows one slot at a time, and every refusal by the upstream
- * lowers it. Two instances that use the same slot do no harm, because the upstream refuses before it runs the request.
+ * lowers it; after a failure the upstream gets a probe at a time. Two instances that use the same slot do no harm, because the upstream refuses before it runs the request.
  */
 import type { Configuration, Service } from '../configuration.js'
 import type { Upstream, World } from '../tables.js'
@@ -18,8 +18,13 @@
   readonly limit: (upstreamId: string, now: number) => number
   /** The upstream refused an attempt before it ran. */
   readonly recordRefusal: (upstreamId: string, now: number) => void
-  /** The upstream finished an attempt. Brings the limit up to `now`; it neither raises nor lowers it by itself. */
+  /** The upstream finished an attempt. Ends the effect of earlier failures. */
   readonly recordCompletion: (upstreamId: string, now: number) => void
+  /**
+   * An attempt at the upstream failed or could not be connected. Until the next completion the limit is 0 for a pause
+   * that doubles with each further failure, and then 1 for a probe. The upstream selector calls it.
+   */
+  readonly recordFailure?: (upstreamId: string, now: number) => void
   /** Free slots of a service in a zone, within the limits. */
   readonly free: (service: string, zone: string, now: number) => number
   /** Sum of the limits of a service in a zone. */
@@ -30,6 +35,9 @@
 const GROWTH_MS = 500
 /** Time after a refusal in which a limit does not grow. */
 const GROWTH_STOP_MS = 2_000
+/** First and longest pause after a failure. */
+const PAUSE_MS = 20
+const PAUSE_MOST_MS = 1_000
 /** Rows are dropped of upstreams that are no longer listed when there are more rows than this. */
 const PRUNE_AT = 1_000
 
@@ -50,6 +58,9 @@
   growthFrom: number
   /** `returns` of the zone's presence when `extra` was last updated. */
   returns: number
+  /** Failures since the last completion; those during a pause count as one. */
+  failures: number
+  pausedUntil: number
 }
 
 /** Creates the slot limits of one instance. */
@@ -77,7 +88,9 @@
       share: 0,
       extra: 0,
       growthFrom: upstream.listedAt,
-      returns: -1
+      returns: -1,
+      failures: 0,
+      pausedUntil: -Infinity
     }
     rows.set(upstream.id, row)
     return row
@@ -144,20 +157,37 @@
     return Math.min(target, 1 + Math.floor((target - 1) * age / service.coldStartMs))
   }
 
-  function limitOf (row: Row | undefined, now: number): number {
-    if (row?.service === undefined || row.presence === undefined) return 0
+  /** Without the effect of failures. */
+  function slotsOf (row: Row, now: number): number {
+    if (row.service === undefined || row.presence === undefined) return 0
     update(row, row.service, row.presence, now)
     return Math.min(row.share + row.extra, rampOf(row, row.service, now))
   }
 
+  function limit (upstreamId: string, now: number): number {
+    const row = rowOf(upstreamId, now)
+    if (row === undefined) return 0
+    const slots = slotsOf(row, now)
+    if (row.failures === 0) return slots
+    return now < row.pausedUntil ? 0 : Math.min(1, slots)
+  }
+
   function recordRefusal (upstreamId: string, now: number): void {
     const row = rowOf(upstreamId, now)
     if (row === undefined) return
     // At least one slot stays for the own zone's upstreams, so that a recovery is noticed.
-    row.extra = Math.max(Math.min(1, row.share), limitOf(row, now) - 1) - row.share
+    row.extra = Math.max(Math.min(1, row.share), slotsOf(row, now) - 1) - row.share
     row.growthFrom = now + GROWTH_STOP_MS
   }
 
+  function recordFailure (upstreamId: string, now: number): void {
+    const row = rows.get(upstreamId)
+    if (row === undefined || now < row.pausedUntil) return
+    row.pausedUntil = now + Math.min(PAUSE_MOST_MS, PAUSE_MS * 2 ** row.failures)
+    // The exponent stays small, so that the product stays finite.
+    row.failures = Math.min(row.failures + 1, PAUSE_MOST_MS)
+  }
+
   function sum (service: string, zone: string, now: number, value: (upstreamId: string) => number): number {
     if (zone !== world.self.zone && !inRegion(zone)) return 0
     let total = 0
@@ -165,14 +195,16 @@
     return total
   }
 
-  const limit = (upstreamId: string, now: number): number => limitOf(rowOf(upstreamId, now), now)
-
   return {
     limit,
     recordRefusal,
-    recordCompletion: (upstreamId, now) => {
-      limit(upstreamId, now)
+    recordCompletion: upstreamId => {
+      const row = rows.get(upstreamId)
+      if (row === undefined) return
+      row.failures = 0
+      row.pausedUntil = -Infinity
     },
+    recordFailure,
     free: (service, zone, now) => sum(service, zone, now, id => Math.max(0, limit(id, now) - outstanding.count(id))),
     total: (service, zone, now) => sum(service, zone, now, id => limit(id, now))
   }
--- a/packages/core/tests/limits/slot-limits.test.ts
+++ b/packages/core/tests/limits/slot-limits.test.ts
@@ -129,4 +129,20 @@
     world.configuration = { ...configuration, drains: [{ kind: 'zone', target: 'z1', service: 'other' }] }
     expect(limits.limit('u1', 0)).toBe(9)
   })
+
+  it('probes an upstream that failed until it completes, guarding against work that is queued for a dead zone', () => {
+    const world = worldOf(configurationOf({ z1: 1 }))
+    addUpstream(world, 'u1')
+    const limits = limitsOf(world)
+    expect(limits.total('s', 'z1', 0)).toBe(9)
+    limits.recordFailure?.('u1', 0)
+    expect([0, 19, 20].map(now => limits.total('s', 'z1', now))).toEqual([0, 0, 1])
+    limits.recordFailure?.('u1', 20)
+    limits.recordFailure?.('u1', 21)
+    expect([59, 60].map(now => limits.total('s', 'z1', now))).toEqual([0, 1])
+    for (let now = 100; now < 10_000; now += 50) limits.recordFailure?.('u1', now)
+    expect(limits.total('s', 'z1', 11_000)).toBe(1)
+    limits.recordCompletion('u1', 11_000)
+    expect(limits.total('s', 'z1', 11_000)).toBe(9)
+  })
 })
--- a/packages/core/tests/limits/upstream-selector.test.ts
+++ b/packages/core/tests/limits/upstream-selector.test.ts
@@ -93,14 +93,14 @@
     expect(Array.from({ length: 6 }, () => start(1_000)).every(attempt => attempt !== undefined)).toBe(true)
   })
 
-  it('pauses an upstream that refuses or fails at once, guarding against an upstream that attracts work by failing fast', () => {
+  it.each(['failed', 'refused'] as const)('pauses an upstream whose attempts are %s at once, guarding against an upstream that attracts work by failing fast', how => {
     const { start, end } = setUp(2)
     const counts = { u0: 0, u1: 0 }
     for (let now = 0; now < 2_000; now += 1) {
       const attempt = start(now)
       if (attempt === undefined) continue
       counts[attempt.upstreamId as 'u0' | 'u1'] += 1
-      end(attempt, now, attempt.upstreamId === 'u0' ? 'failed' : 'finished')
+      end(attempt, now, attempt.upstreamId === 'u0' ? how : 'finished')
     }
     expect(counts.u0).toBeLessThanOrEqual(10)
     expect(counts.u1).toBeGreaterThan(1_900)
