--- /dev/null
+++ b/packages/core/tests/loop.test.ts
@@ -0,0 +1,59 @@
+import type { Event } from '../src/event.js'
+import { from, merge, never } from 'most'
+import { describe, expect, it, vi } from 'vitest'
+import { runLoop, TICK_MS } from '../src/loop.js'
+
+interface Started { readonly seen: string[], readonly executed: string[], readonly errors: Error[], readonly stop: () => void }
+
+function start (events: readonly Event[], handled: (event: Event) => void = () => {}): Started {
+  const seen: string[] = []
+  const executed: string[] = []
+  const errors: Error[] = []
+  const { stop } = runLoop({
+    engine: {
+      handle: event => {
+        handled(event)
+        seen.push(event.type)
+        return event.type === 'stop-requested' ? [{ type: 'cancel-attempt', attemptId: 'a1' }, { type: 'stopped' }] : []
+      }
+    },
+    events: merge(from([...events]), never()),
+    execute: command => executed.push(command.type),
+    onError: error => errors.push(error)
+  })
+  return { seen, executed, errors, stop }
+}
+
+describe('runLoop', () => {
+  it('hands events and ticks to one engine and its commands on, until it is stopped', async () => {
+    const loop = start([{ type: 'stop-requested' }])
+    await vi.advanceTimersByTimeAsync(10 * TICK_MS)
+    expect(loop.seen).toContain('stop-requested')
+    expect(loop.executed).toEqual(['cancel-attempt', 'stopped'])
+    const ticks = loop.seen.filter(type => type === 'tick').length
+    expect(ticks).toBeGreaterThanOrEqual(9)
+    loop.stop()
+    await vi.advanceTimersByTimeAsync(10 * TICK_MS)
+    expect(loop.seen.filter(type => type === 'tick')).toHaveLength(ticks)
+  })
+
+  it('ticks once after a pause, guarding against a burst of missed ticks that delays the requests', async () => {
+    const loop = start([])
+    await vi.advanceTimersByTimeAsync(5 * TICK_MS)
+    const before = loop.seen.length
+    // The clock moves on while no timer runs, as in a stopped process.
+    vi.setSystemTime(Date.now() + 60_000)
+    await vi.advanceTimersByTimeAsync(TICK_MS)
+    expect(loop.seen.length - before).toBeLessThanOrEqual(2)
+    loop.stop()
+  })
+
+  it('ends and reports an error of the engine, guarding against a loop that goes on with half a change', async () => {
+    const loop = start([{ type: 'stop-requested' }], event => {
+      if (event.type === 'stop-requested') throw new Error('fault')
+    })
+    await vi.advanceTimersByTimeAsync(10 * TICK_MS)
+    expect(loop.errors.map(error => error.message)).toEqual(['fault'])
+    expect(loop.seen).toEqual([])
+  })
+})
