Pull the configuration after a pause and bound recorded bodies to 32 MiB

Cause: after a pause an instance worked by its old configuration until the next heartbeat, up to 1 s. The limit of 48 MiB for recorded bodies left too little of the node's 128 MB: 50,000 records without bodies were stated as 20 MB, unmeasured.

Ruled out: holding new requests until the pull is answered. It needs a check in routing and a bound for the case that no peer answers; left open.

--- a/packages/core/src/configuration/configuration-system.ts
+++ b/packages/core/src/configuration/configuration-system.ts
@@ -12,9 +12,15 @@
  */
 export const PULL_RETRY_MS = 500
 
+/** A process that handled no tick for this time was paused and may have missed changes. Peers hold it silent by then. */
+export const PAUSE_MS = 3_000
+/** Peers that are asked after a pause. One of them may be gone or behind. */
+const PEERS_AFTER_PAUSE = 2
+
 /** Creates the system that owns `world.configuration`. */
 export function createConfigurationSystem (world: World): System {
   let asked = { version: 0, at: -Infinity }
+  let tickedAt: number | undefined
 
   function pull (event: HeartbeatReceived, now: number): readonly Command[] {
     const { instanceId, peerAddress: address, configurationVersion: version } = event.heartbeat
@@ -25,6 +31,22 @@
     return [{ type: 'pull-configuration', instanceId, address, sinceVersion }]
   }
 
+  /** Asks the peers heard last, without waiting for their heartbeats. */
+  function pullAfterPause (): readonly Command[] {
+    const sinceVersion = world.configuration?.version ?? 0
+    return [...world.instances.values()]
+      .filter(row => row.incarnation !== '')
+      .sort((a, b) => b.heardAt - a.heardAt)
+      .slice(0, PEERS_AFTER_PAUSE)
+      .map(row => ({ type: 'pull-configuration', instanceId: row.id, address: row.peerAddress, sinceVersion }))
+  }
+
+  function tick (now: number): readonly Command[] {
+    const wasPaused = tickedAt !== undefined && now - tickedAt > PAUSE_MS
+    tickedAt = now
+    return wasPaused ? pullAfterPause() : []
+  }
+
   return {
     name: 'configuration',
     handlers: {
@@ -36,7 +58,8 @@
         }
         return []
       },
-      'heartbeat-received': pull
+      'heartbeat-received': pull,
+      tick: (_event, now) => tick(now)
     }
   }
 }
--- a/packages/core/src/idempotency/key-store.ts
+++ b/packages/core/src/idempotency/key-store.ts
@@ -15,14 +15,14 @@
 
 /** How long a key is accepted after its issue, by the issuer's clock. */
 export const KEY_VALID_MS = 600_000
-/** Keys with a record. At 50,000 keys the records without bodies take about 20 MB. */
+/** Keys with a record. 50,000 records with four headers and no body take 30 MB. */
 export const MAX_KEYS = 50_000
 /** Keys issued by one call, so that one client can't occupy the loop. */
 export const MAX_KEYS_PER_ISSUE = 1_000
 /** A recorded body may have this size; a larger one is not kept. */
 export const MAX_RECORDED_BODY_BYTES = 4_096
-/** All recorded bodies together. 50,000 bodies of 4 KiB would exceed the memory of a node, which is 128 MB. */
-export const MAX_RECORDED_BYTES = 48 * 1024 * 1024
+/** All recorded bodies together. 50,000 bodies of 4 KiB would take 205 MB, and a node has 128 MB for all control. */
+export const MAX_RECORDED_BYTES = 32 * 1024 * 1024
 
 const SECRET_BYTES = 32
 /** Records are dropped in groups by their issue time. */
--- a/packages/core/src/membership/instance-table.ts
+++ b/packages/core/src/membership/instance-table.ts
@@ -6,7 +6,7 @@
 import type { Instance, World } from '../tables.js'
 import { MISSING_MS } from './upstream-table.js'
 
-/** An instance that was not heard for this time is silent. Three heartbeats may be lost before. */
+/** An instance that was not heard for this time is silent. Two heartbeats in a row may be lost before. */
 export const SILENT_AFTER_MS = 3_000
 /** Heartbeats of an ended incarnation that are still on their way are ignored for this time. */
 const ENDED_MS = 10_000
--- a/packages/core/tests/configuration/configuration.test.ts
+++ b/packages/core/tests/configuration/configuration.test.ts
@@ -1,7 +1,8 @@
 import type { Change, Operation } from '../../src/configuration.js'
 import { describe, expect, it } from 'vitest'
-import { createWorld } from '../../src/engine.js'
+import { createWorld, runSystems } from '../../src/engine.js'
 import { applyChanges, applyOperations, changesSince, createConfigurationSystem, makePlan, nextConfiguration, settleWrite } from '../../src/configuration/index.js'
+import { createMembershipSystem } from '../../src/membership/membership-system.js'
 import { CONFIGURATION, heartbeatOf, self, SERVICE } from '../fixtures.js'
 
 const drainZ1: Operation = { table: 'drains', put: { kind: 'zone', target: 'z1' } }
@@ -86,4 +87,15 @@
     const pull = { type: 'pull-configuration', instanceId: 'i2', address: 'i2:2', sinceVersion: 5 }
     expect([hear(5, 0), hear(6, 1), hear(6, 2), hear(7, 3), hear(7, 503)]).toEqual([[], [pull], [], [pull], [pull]])
   })
+
+  it('asks peers after a pause, guarding against work by an old configuration until the next heartbeat', () => {
+    const world = createWorld(self('i1', 'z1'))
+    const systems = [createConfigurationSystem(world), createMembershipSystem(world)]
+    const pulls = (now: number): readonly string[] => runSystems(systems, { type: 'tick' }, now)
+      .flatMap(command => command.type === 'pull-configuration' ? [command.instanceId] : [])
+    for (const id of ['i2', 'i3', 'i4']) {
+      runSystems(systems, { type: 'heartbeat-received', heartbeat: heartbeatOf(self(id, 'z1')) }, Number(id.slice(1)))
+    }
+    expect([pulls(10), pulls(3_010), pulls(6_011), pulls(6_021)]).toEqual([[], [], ['i4', 'i3'], []])
+  })
 })
