Make the stand-in tests independent of the machine's load

Cause: some waits were shorter than scheduling delays on a busy machine: a drain of 50 ms had passed before the first request arrived, and a cancellation could come before the run started. Ruled out: longer fixed waits alone; the tests now wait for the state that they need. Change: longer limits and waits for states. No assertion was removed.

--- a/packages/standins/tests/real/platform.test.ts
+++ b/packages/standins/tests/real/platform.test.ts
@@ -1,7 +1,7 @@
 import type { HttpPlatform } from '@arbutustray/platform'
 import type { PlatformStandin } from '../../src/index.js'
 import { createConfigurationWriter, createHttpPlatform } from '@arbutustray/platform'
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { startPlatform } from '../../src/index.js'
 
 describe('HTTP platform against the stand-in', () => {
@@ -10,7 +10,7 @@
 
   beforeEach(async () => {
     standin = await startPlatform()
-    client = createHttpPlatform({ url: standin.url, timeoutMs: 300 })
+    client = createHttpPlatform({ url: standin.url, timeoutMs: 1_000 })
   })
 
   afterEach(async () => {
@@ -42,7 +42,7 @@
     standin.switches.loseReplies = 1
     expect((await client.put('x', 1, 0))._unsafeUnwrapErr().type).toBe('reply-lost')
     expect((await client.get('x'))._unsafeUnwrap().version).toBe(1)
-    standin.switches.slowMs = 1_000
+    standin.switches.slowMs = 2_000
     expect((await client.get('x'))._unsafeUnwrapErr().type).toBe('unavailable')
     expect((await client.put('x', 2, 1))._unsafeUnwrapErr().type).toBe('reply-lost')
     standin.switches.slowMs = 0
@@ -56,7 +56,7 @@
   })
 
   it('commits through lost replies and reports an outage as `unavailable`', async () => {
-    const writer = createConfigurationWriter({ store: client, deadlineMs: 800 })
+    const writer = createConfigurationWriter({ store: client, deadlineMs: 2_000 })
     const change = { baseVersion: 0, changeId: 'a', actor: 'o', reason: 'r', at: 0, operations: [] }
     standin.switches.loseReplies = 1
     expect((await writer.commit(change))._unsafeUnwrap().version).toBe(1)
@@ -65,11 +65,10 @@
   })
 
   it('shows list changes after the lag', async () => {
-    standin.switches.lagMs = 100
+    standin.switches.lagMs = 500
     const entry = { id: 'u1', role: 'upstream' as const, service: 's', zone: 'z', address: '127.0.0.1:1', state: 'live' as const }
     standin.putInstances([entry])
     expect((await client.list())._unsafeUnwrap()).toEqual([])
-    await new Promise(resolve => setTimeout(resolve, 200))
-    expect((await client.list())._unsafeUnwrap()).toEqual([entry])
+    await vi.waitFor(async () => expect((await client.list())._unsafeUnwrap()).toEqual([entry]), { timeout: 5_000 })
   })
 })
--- a/packages/standins/tests/real/upstream.test.ts
+++ b/packages/standins/tests/real/upstream.test.ts
@@ -1,7 +1,7 @@
 import type { UpstreamStandin } from '../../src/index.js'
 import { createHash } from 'node:crypto'
 import { Agent, request } from 'undici'
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { startUpstream } from '../../src/index.js'
 
 describe('upstream stand-in', () => {
@@ -32,10 +32,11 @@
   })
 
   it('refuses above its slots without running, and reports load late', async () => {
-    const first = [send({ 'x-service-ms': '200' }), send({ 'x-service-ms': '200' })]
-    await new Promise(resolve => setTimeout(resolve, 80))
-    const load = await request(`http://${upstream.address}/load`, { dispatcher: agent })
-    expect(await load.body.json()).toMatchObject({ active: 2, queued: 0 })
+    const first = [send({ 'x-service-ms': '1000' }), send({ 'x-service-ms': '1000' })]
+    await vi.waitFor(async () => {
+      const load = await request(`http://${upstream.address}/load`, { dispatcher: agent })
+      expect(await load.body.json()).toMatchObject({ active: 2, queued: 0 })
+    }, { timeout: 900 })
     const refused = await send()
     expect([refused.statusCode, refused.headers['x-load-shed']]).toEqual([503, '1'])
     await Promise.all(first)
@@ -46,18 +47,19 @@
     const abort = new AbortController()
     const cancelled = send({ 'x-service-ms': '5000' }, '', abort.signal)
     const late = send({ 'x-service-ms': '5000', 'arbutustray-timeout-ms': '50' })
-    setTimeout(() => abort.abort(), 30)
+    await vi.waitFor(() => expect(upstream.runs()).toHaveLength(2))
+    abort.abort()
     await expect(cancelled).rejects.toThrow()
     expect((await late).statusCode).toBe(504)
-    expect(upstream.runs().map(run => run.end).sort()).toEqual(['cancelled', 'deadline'])
+    await vi.waitFor(() => expect(upstream.runs().map(run => run.end).sort()).toEqual(['cancelled', 'deadline']))
     expect((await send({ 'x-service-ms': '1' })).statusCode).toBe(200)
   })
 
   it('announces that it leaves and refuses after a while', async () => {
-    upstream.drain(50)
+    upstream.drain(500)
     const served = await send({ 'x-service-ms': '1' })
     expect([served.statusCode, served.headers['arbutustray-leaving']]).toEqual([200, '1'])
-    await new Promise(resolve => setTimeout(resolve, 80))
+    await new Promise(resolve => setTimeout(resolve, 550))
     const refused = await send()
     expect([refused.statusCode, refused.headers['x-load-shed'], refused.headers['arbutustray-leaving']]).toEqual([503, '1', '1'])
   })
