Load client blocks from the platform and drop per-request time-outs

Cause: nothing loaded client blocks, so every client counted for the zone of its entry instance. undici created one more timer for each request because its time limit differed each time; the engine already ends attempts at their deadline. An ordered map of the newest request ids cost each request.

--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -108,7 +108,9 @@
   })
 
   const platform = createHttpPlatform({ url: settings.platformUrl })
-  const sync = startPlatformSync({ platform, emit, telemetry })
+  const sync = startPlatformSync({
+    platform, emit, onClientBlocks: table => { engine.world.clientBlocks = table }, telemetry
+  })
   const loadPoll = startLoadPoll({ engine, emit, telemetry })
   const intake = createIntake({
     instanceId,
--- /dev/null
+++ b/packages/entry/src/platform-calls.ts
@@ -0,0 +1,64 @@
+/**
+ * Repeats calls to the platform. A call that fails is repeated after an increasing time with jitter.
+ */
+import { randomInt } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { formatPlatformError } from '@arbutustray/platform'
+import type { PlatformError } from '@arbutustray/platform'
+import type { Telemetry } from '@arbutustray/telemetry'
+import type { Result } from 'neverthrow'
+
+const FIRST_BACKOFF_MS = 500
+const LONGEST_BACKOFF_MS = 10_000
+
+export interface PlatformCalls {
+  /** Aborted by `stop`. */
+  readonly signal: AbortSignal
+  /** Repeats a call until the stop, `pauseMs` after each success. */
+  readonly repeat: (call: string, pauseMs: number, run: () => Promise<Result<unknown, PlatformError>>) => void
+  readonly pause: (ms: number) => Promise<void>
+  /** The last call of this name failed. */
+  readonly isFailing: (call: string) => boolean
+  readonly stop: () => void
+}
+
+/** Creates the loops' common state. */
+export function startPlatformCalls (telemetry: Telemetry): PlatformCalls {
+  const abort = new AbortController()
+  const failing = new Set<string>()
+
+  async function pause (ms: number): Promise<void> {
+    if (ms > 0) await sleep(ms, undefined, { signal: abort.signal, ref: false }).catch(() => {})
+  }
+
+  async function loop (call: string, pauseMs: number, run: () => Promise<Result<unknown, PlatformError>>): Promise<void> {
+    let backoffMs = FIRST_BACKOFF_MS
+    while (!abort.signal.aborted) {
+      const result = await run()
+      if (abort.signal.aborted) return
+      telemetry.metrics.increment('arbutustray_platform_calls_total', { call, result: result.isOk() ? 'ok' : 'error' })
+      if (result.isOk()) {
+        if (failing.delete(call)) telemetry.log('platform-available', { call })
+        backoffMs = FIRST_BACKOFF_MS
+        await pause(pauseMs)
+        continue
+      }
+      // Half of the time is random, so that instances do not return at once when the platform recovers.
+      const retryMs = Math.round(backoffMs / 2) + randomInt(Math.round(backoffMs / 2))
+      if (!failing.has(call)) telemetry.log('platform-unavailable', { call, error: formatPlatformError(result.error), retryMs })
+      failing.add(call)
+      backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2)
+      await pause(retryMs)
+    }
+  }
+
+  return {
+    signal: abort.signal,
+    repeat: (call, pauseMs, run) => {
+      loop(call, pauseMs, run).catch(error => telemetry.log('engine-fault', { event: call, error: String(error) }))
+    },
+    pause,
+    isFailing: call => failing.has(call),
+    stop: () => abort.abort()
+  }
+}
--- a/packages/entry/src/platform-sync.ts
+++ b/packages/entry/src/platform-sync.ts
@@ -2,21 +2,22 @@
  * Follows the platform: watches the configuration object and reads the instance list. When the platform is down or
  * slow, calls back off with jitter and serving goes on with what is known.
  */
-import { randomInt } from 'node:crypto'
-import { setTimeout as sleep } from 'node:timers/promises'
 import { EMPTY_CONFIGURATION } from '@arbutustray/core'
 import { CONFIGURATION_OBJECT, formatPlatformError, parseConfiguration } from '@arbutustray/platform'
 import type { InstanceList, ObjectStore, PlatformError } from '@arbutustray/platform'
 import type { Telemetry } from '@arbutustray/telemetry'
 import { ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
+import type { BlockTable } from '@arbutustray/core'
+import { CLIENT_BLOCKS_OBJECT, loadClientBlocks } from './client-blocks.js'
 import type { Emit } from './event-source.js'
+import { startPlatformCalls } from './platform-calls.js'
 
 /** Period of the list's reading, in milliseconds. */
 const LIST_PERIOD_MS = 1_000
 
-const FIRST_BACKOFF_MS = 500
-const LONGEST_BACKOFF_MS = 10_000
+/** Client blocks are optional; a platform that answers a watch of a missing object at once is asked this often. */
+const MISSING_BLOCKS_PAUSE_MS = 10_000
 
 export interface PlatformSync {
   /** The last call of each kind succeeded, so the newest version is known. */
@@ -27,52 +28,27 @@
 export interface PlatformSyncOptions {
   readonly platform: Pick<ObjectStore, 'get' | 'watch'> & InstanceList
   readonly emit: Emit
+  readonly onClientBlocks: (table: BlockTable) => void
   readonly telemetry: Telemetry
 }
 
-/** Starts both loops. */
+/** Starts the loops. */
 export function startPlatformSync (options: PlatformSyncOptions): PlatformSync {
   const { platform, emit, telemetry } = options
-  const abort = new AbortController()
-  const failing = new Set<string>()
+  const calls = startPlatformCalls(telemetry)
+  let blocksVersion = 0
   let objectVersion = 0
   let answered = false
 
-  /** Repeats a call until the stop; `pauseMs` after a success, an increasing time after a failure. */
-  async function repeat (call: string, pauseMs: number, run: () => Promise<Result<unknown, PlatformError>>): Promise<void> {
-    let backoffMs = FIRST_BACKOFF_MS
-    while (!abort.signal.aborted) {
-      const result = await run()
-      if (abort.signal.aborted) return
-      telemetry.metrics.increment('arbutustray_platform_calls_total', { call, result: result.isOk() ? 'ok' : 'error' })
-      if (result.isOk()) {
-        if (failing.delete(call)) telemetry.log('platform-available', { call })
-        backoffMs = FIRST_BACKOFF_MS
-        await pause(pauseMs)
-        continue
-      }
-      // Half of the time is random, so that instances do not return at once when the platform recovers.
-      const retryMs = Math.round(backoffMs / 2) + randomInt(Math.round(backoffMs / 2))
-      if (!failing.has(call)) telemetry.log('platform-unavailable', { call, error: formatPlatformError(result.error), retryMs })
-      failing.add(call)
-      backoffMs = Math.min(LONGEST_BACKOFF_MS, backoffMs * 2)
-      await pause(retryMs)
-    }
-  }
-
-  async function pause (ms: number): Promise<void> {
-    if (ms > 0) await sleep(ms, undefined, { signal: abort.signal, ref: false }).catch(() => {})
-  }
-
   /** Reads the object first: a watch of an object that does not exist yet would only answer after its limit. */
   async function follow (): Promise<Result<unknown, PlatformError>> {
     const result = answered
-      ? await platform.watch(CONFIGURATION_OBJECT, objectVersion, abort.signal)
+      ? await platform.watch(CONFIGURATION_OBJECT, objectVersion, calls.signal)
       : await platform.get(CONFIGURATION_OBJECT)
     if (result.isErr() && result.error.type === 'not-found') {
       // A new platform holds no configuration; the first change starts from version 0.
       emit({ type: 'configuration-received', configuration: EMPTY_CONFIGURATION, source: 'platform' })
-      if (answered) await pause(LIST_PERIOD_MS)
+      if (answered) await calls.pause(LIST_PERIOD_MS)
       answered = true
       return ok(undefined)
     }
@@ -93,10 +69,27 @@
     return result
   }
 
-  repeat('watch', 0, follow).catch(error => telemetry.log('engine-fault', { event: 'watch', error: String(error) }))
-  repeat('list', LIST_PERIOD_MS, list).catch(error => telemetry.log('engine-fault', { event: 'list', error: String(error) }))
+  async function followBlocks (): Promise<Result<unknown, PlatformError>> {
+    const index = await platform.watch(CLIENT_BLOCKS_OBJECT, blocksVersion, calls.signal)
+    if (index.isErr() && index.error.type === 'not-found') {
+      await calls.pause(MISSING_BLOCKS_PAUSE_MS)
+      return ok(undefined)
+    }
+    if (index.isErr() || index.value === undefined) return index
+    const { version, value } = index.value
+    const loaded = await loadClientBlocks(platform, value)
+    if (loaded.isErr()) return loaded
+    blocksVersion = version
+    telemetry.log('client-blocks-loaded', { blocks: loaded.value.size, skipped: loaded.value.skipped })
+    options.onClientBlocks(loaded.value.table)
+    return index
+  }
+
+  calls.repeat('watch', 0, follow)
+  calls.repeat('client-blocks', 0, followBlocks)
+  calls.repeat('list', LIST_PERIOD_MS, list)
   return {
-    reachable: () => answered && failing.size === 0,
-    stop: () => abort.abort()
+    reachable: () => answered && !calls.isFailing('watch') && !calls.isFailing('list'),
+    stop: calls.stop
   }
 }
--- a/packages/entry/src/request-ids.ts
+++ b/packages/entry/src/request-ids.ts
@@ -18,27 +18,28 @@
 /** Creates the identities of one incarnation. */
 export function createRequestIds (): RequestIds {
   const live = new Set<string>()
-  const newest = new Map<string, string>()
+  // A ring that is searched only when an operator asks: an index would cost every request.
+  const callerIds: string[] = []
+  const requestIds: string[] = []
   let count = 0
 
-  function remember (callerId: string, requestId: string): void {
-    newest.delete(callerId)
-    newest.set(callerId, requestId)
-    if (newest.size <= REMEMBERED_IDS) return
-    const oldest = newest.keys().next()
-    if (oldest.done !== true) newest.delete(oldest.value)
-  }
-
   return {
     assign: callerId => {
       count += 1
       const requestId = `r${count}`
       const wireId = live.has(callerId) ? `${callerId}.${requestId}` : callerId
       live.add(wireId)
-      remember(callerId, requestId)
+      callerIds[count % REMEMBERED_IDS] = callerId
+      requestIds[count % REMEMBERED_IDS] = requestId
       return { requestId, wireId }
     },
     release: wireId => { live.delete(wireId) },
-    find: callerId => newest.get(callerId)
+    find: callerId => {
+      for (let back = 0; back < Math.min(count, REMEMBERED_IDS); back += 1) {
+        const slot = (count - back) % REMEMBERED_IDS
+        if (callerIds[slot] === callerId) return requestIds[slot]
+      }
+      return undefined
+    }
   }
 }
--- a/packages/entry/src/upstream-client.ts
+++ b/packages/entry/src/upstream-client.ts
@@ -14,9 +14,6 @@
 /** Time in which a connection must be made, in milliseconds. A failure before the write can be tried elsewhere. */
 const CONNECT_TIMEOUT_MS = 1_000
 
-/** The engine ends attempts at their deadline; undici's own limit only catches attempts that the engine has lost. */
-const DEADLINE_SLACK_MS = 5_000
-
 /** A pool that was not used for this long is closed, in milliseconds. */
 const POOL_IDLE_MS = 60_000
 
@@ -77,6 +74,7 @@
   function poolFor (address: string): PoolEntry {
     let entry = pools.get(address)
     if (entry === undefined) {
+      // The engine cancels attempts at their deadline, so undici needs no time limit for the head of an answer.
       const pool = new Pool(`http://${address}`, {
         connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: options.idleTimeoutMs
       })
@@ -154,7 +152,6 @@
     headers: headers.concat(
       route.headers, HEADER.requestId, wireId, HEADER.timeout, String(timeoutMs), HEADER.traceparent, traceparent
     ),
-    headersTimeout: timeoutMs + DEADLINE_SLACK_MS,
     body: body.type === 'none' ? null : body.type === 'buffered' ? body.bytes : body.open()
   }
 }
--- a/packages/entry/tests/real/operator.test.ts
+++ b/packages/entry/tests/real/operator.test.ts
@@ -95,6 +95,16 @@
   await vi.waitFor(() => expect(entry.engine.configuration()?.version).toBe(9), { timeout: 8_000 })
 })
 
+it('places clients by the blocks in the platform, guarding against traffic that counts for the wrong zone', async () => {
+  const { platform, entry } = await start(7)
+  const store = async (name: string, value: unknown): Promise<void> => {
+    await fetch(`${platform.url}/objects/${name}?expect=0`, { method: 'PUT', headers: { 'content-type': 'application/json' }, body: JSON.stringify(value) })
+  }
+  await store('client-blocks-0', { blocks: [['10.1.0.0/16', 'zagreb-1', 'pula'], ['nonsense', 'zagreb-1', 'pula']] })
+  await store('client-blocks', { parts: 1 })
+  await vi.waitFor(() => expect(entry.engine.world.clientBlocks?.find('10.1.2.3')).toEqual({ zone: 'zagreb-1', tenant: 'pula' }))
+})
+
 it('explains a request by the identity that the caller saw, guarding against answers that no auditor can trace', async () => {
   const { platform, entry } = await start(7)
   platform.putInstances([upstreamRow(await startUpstream((request, response) => answer(request, response, 200, 'ok')))])
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -99,6 +99,12 @@
     message: 'configuration from {source} was ignored: {error}',
     fields: ['source', 'error']
   },
+  'client-blocks-loaded': {
+    number: 5005,
+    level: 'info',
+    message: '{blocks} client blocks are in use, {skipped} malformed ones were left out',
+    fields: ['blocks', 'skipped']
+  },
   'change-confirmed': {
     number: 6001,
     level: 'info',
