Check refused purchases in the demo too

Cause: a purchase that was refused as not-run was not compared with the run logs, because two requests can share its key. Ruled out: keeping the exception, since a caller that is told not-run buys again with a new key. Change: no refused request may have a run under its path, with or without a key; one more test.

--- a/packages/standins/src/demo/verify.ts
+++ b/packages/standins/src/demo/verify.ts
@@ -27,7 +27,8 @@
   const runsByPath = countBy(runs, run => run.path)
   const twice = [...countBy(runs, run => run.key)].filter(([, count]) => count > 1)
   const unkeyed = runs.filter(run => run.path.startsWith('/purchases') && run.key === undefined)
-  const refusedRan = samples.filter(({ end, order }) => end === 'refused' && order.key === undefined && runsByPath.has(order.path))
+  // Also if another request with the same key ran: a caller that is told `not-run` buys again with a new key.
+  const refusedRan = samples.filter(({ end, order }) => end === 'refused' && runsByPath.has(order.path))
   const unheard = samples.filter(({ end, order }) => end === 'whole' && !runsByPath.has(order.path))
   const late = runs.filter(run => run.upstream === drain.upstream && run.started > drain.confirmedAt + drain.boundMs)
   const interrupted = runs.filter(run => run.upstream === drain.upstream && run.end !== 'served')
--- a/packages/standins/tests/demo/verify.test.ts
+++ b/packages/standins/tests/demo/verify.test.ts
@@ -24,6 +24,7 @@
     ['a key that ran twice', [], [run('/purchases/1', { key: 'k1' }), run('/purchases/1', { key: 'k1' })], 'key k1 ran 2 times'],
     ['a purchase without its key', [], [run('/purchases/1')], '/purchases/1 ran without its key'],
     ['a run of a refused request', [sample('/a', 'refused')], [run('/a')], '/a ran although'],
+    ['a run of a refused key', [sample('/purchases/1', 'refused', 'k1')], [run('/purchases/1', { key: 'k1' })], '/purchases/1 ran although'],
     ['an answer without a run', [sample('/a', 'whole')], [], '/a was answered without a run'],
     ['new work at a drained upstream', [], [run('/a', { upstream: 'u1', started: 4_500 })], '/a started at the drained u1 3500 ms'],
     ['work that the drain interrupted', [], [run('/a', { upstream: 'u1', end: 'cancelled' })], '/a at the drained u1 ended as cancelled']
