--- /dev/null
+++ b/packages/bench/src/slopes/capacity.ts
@@ -0,0 +1,129 @@
+/**
+ * Works out the cost of an entry instance at the design size from measured slopes.
+ */
+import type { BlockCosts, PeerCosts, SiteCosts } from './slopes.js'
+import type { Slope } from './measure.js'
+import { DESIGN_SIZE } from './sample-data.js'
+
+/** Everything that was measured. */
+export interface Slopes {
+  readonly blocks: BlockCosts
+  readonly sites: SiteCosts
+  readonly peers: PeerCosts
+}
+
+/** One line of the capacity table. */
+export interface CapacityRow {
+  readonly item: string
+  readonly value: number
+  readonly unit: string
+  /** Largest allowed value, in the same unit. */
+  readonly target?: number
+}
+
+const SECONDS_PER_DAY = 86_400
+const MICROSECONDS_PER_SECOND = 1e6
+const MIB = 1_048_576
+/** Heartbeats sent each second, and the answers to those received, which carry a heartbeat too. */
+const HEARTBEATS_SENT = 12
+/** Reads of the platform's list each second by an instance. */
+const LIST_READS = 1
+/** A watch is renewed after this time without a change. */
+const WATCH_SECONDS = 25
+const CORE_TARGET_PERCENT = 4.7
+const MEMORY_TARGET_MIB = 128
+const TRAFFIC_TARGET_BYTES = 3_000
+const READS_TARGET = 2_000
+
+function at (slope: Slope, units: number): number {
+  return slope.base + slope.perUnit * units
+}
+
+function percentOfCore (microsecondsPerSecond: number): number {
+  return 100 * microsecondsPerSecond / MICROSECONDS_PER_SECOND
+}
+
+/** Processor time for control in percent of a core. */
+function processorRows ({ sites, peers }: Slopes): readonly CapacityRow[] {
+  const { instances, sites: siteCount, changesPerDay } = DESIGN_SIZE
+  const changes = changesPerDay / SECONDS_PER_DAY
+  const membership = percentOfCore(at(peers.membershipMicrosecondsPerSecond, instances))
+  const list = percentOfCore(LIST_READS * at(peers.listMicroseconds, instances))
+  const apply = percentOfCore(changes * at(sites.applyMicroseconds, siteCount))
+  return [
+    { item: 'membership: ticks and heartbeats', value: membership, unit: '% of a core' },
+    { item: 'platform list: adopting it each second', value: list, unit: '% of a core' },
+    { item: 'configuration: applying changes', value: apply, unit: '% of a core' },
+    { item: 'control in all', value: membership + list + apply, unit: '% of a core', target: CORE_TARGET_PERCENT }
+  ]
+}
+
+/** Memory in MiB, without the runtime itself. */
+function memoryRows ({ blocks, sites, peers }: Slopes): readonly CapacityRow[] {
+  const { instances, sites: siteCount, clientBlocks } = DESIGN_SIZE
+  const table = blocks.bytesPerClientBlock * clientBlocks / MIB
+  const configuration = at(sites.heapBytes, siteCount) / MIB
+  const members = at(peers.heapBytes, instances) / MIB
+  return [
+    { item: 'client blocks', value: table, unit: 'MiB' },
+    { item: 'configuration', value: configuration, unit: 'MiB' },
+    { item: 'entry instances', value: members, unit: 'MiB' },
+    { item: 'state in all', value: table + configuration + members, unit: 'MiB', target: MEMORY_TARGET_MIB }
+  ]
+}
+
+/** Traffic for control, sent by one instance or read by it, in bytes a second. */
+function trafficRows ({ sites, peers }: Slopes): readonly CapacityRow[] {
+  const { instances, sites: siteCount, changesPerDay } = DESIGN_SIZE
+  const changes = changesPerDay / SECONDS_PER_DAY
+  return [
+    { item: 'heartbeats sent, without HTTP headers', value: HEARTBEATS_SENT * peers.heartbeatBytes, unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
+    { item: 'configuration by watch, whole object for each change', value: changes * at(sites.wireBytes, siteCount), unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
+    { item: 'configuration by changes from a peer', value: changes * sites.changeBytes, unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
+    { item: 'platform list, entry instances only', value: LIST_READS * at(peers.listBytes, instances), unit: 'B/s', target: TRAFFIC_TARGET_BYTES }
+  ]
+}
+
+/** Reads of the platform each second by the whole fleet. */
+function platformRows (): readonly CapacityRow[] {
+  const { instances, changesPerDay } = DESIGN_SIZE
+  const changes = changesPerDay / SECONDS_PER_DAY
+  const watches = instances * (changes + 1 / WATCH_SECONDS)
+  return [
+    { item: 'watches of the configuration by all instances', value: watches, unit: 'calls/s' },
+    { item: 'reads of the list by all instances', value: instances * LIST_READS, unit: 'calls/s' },
+    { item: 'platform reads in all', value: watches + instances * LIST_READS, unit: 'calls/s', target: READS_TARGET },
+    { item: 'platform writes: configuration changes', value: changes, unit: 'calls/s', target: 300 }
+  ]
+}
+
+function lookupRows ({ peers }: Slopes): readonly CapacityRow[] {
+  const { instances, lookupsPerSecond } = DESIGN_SIZE
+  const perInstance = lookupsPerSecond / instances
+  return [
+    { item: 'look-ups for one instance', value: perInstance, unit: '1/s' },
+    { item: 'decisions of these look-ups, without HTTP', value: percentOfCore(perInstance * at(peers.lookupMicroseconds, instances)), unit: '% of a core' }
+  ]
+}
+
+/** The whole table. */
+export function workOutCapacity (slopes: Slopes): readonly CapacityRow[] {
+  return [
+    ...processorRows(slopes), ...memoryRows(slopes), ...trafficRows(slopes), ...platformRows(), ...lookupRows(slopes)
+  ]
+}
+
+/** Three digits, without an exponent. */
+function formatValue (value: number): string {
+  const digits = value >= 100 ? 0 : value >= 10 ? 1 : 2
+  return value.toFixed(digits)
+}
+
+/** The table as Markdown. */
+export function formatCapacity (rows: readonly CapacityRow[]): string {
+  const lines = rows.map(({ item, value, unit, target }) => {
+    const verdict = target === undefined ? '' : value <= target ? `holds (${target})` : `does not hold yet (${target})`
+    return `| ${item} | ${formatValue(value)} | ${unit} | ${verdict} |`
+  })
+  return ['| item | value | unit | target |', '|---|---|---|---|', ...lines].join('\n')
+}
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -1,7 +1,29 @@
 /**
- * `npm run bench:slopes`: prints the costs of state against its size as JSON.
+ * `npm run bench:slopes`: prints the costs of state against its size, and the capacity table worked out from them.
  */
+import { Builtins, Cli, Command, Option } from 'clipanion'
+import { formatCapacity, workOutCapacity } from './capacity.js'
 import { measureBlocks, measurePeers, measureSites } from './slopes.js'
 
-const { costs, table } = measureBlocks()
-process.stdout.write(`${JSON.stringify({ blocks: costs, sites: measureSites(), peers: measurePeers(table) }, undefined, 2)}\n`)
+class SlopesBench extends Command {
+  static override paths = [Command.Default]
+  static override usage = Command.Usage({ description: 'Measures memory and processor time against the size of the state.' })
+
+  json = Option.Boolean('--json', false, { description: 'Print one JSON object and nothing else on standard output.' })
+
+  async execute (): Promise<number> {
+    const { costs, table } = measureBlocks()
+    const slopes = { blocks: costs, sites: measureSites(), peers: measurePeers(table) }
+    const capacity = workOutCapacity(slopes)
+    const text = this.json
+      ? JSON.stringify({ ...slopes, capacity })
+      : `${JSON.stringify(slopes, undefined, 2)}\n\n${formatCapacity(capacity)}`
+    this.context.stdout.write(`${text}\n`)
+    return 0
+  }
+}
+
+const cli = new Cli({ binaryLabel: 'arbutustray slopes', binaryName: 'npm run bench:slopes --' })
+cli.register(SlopesBench)
+cli.register(Builtins.HelpCommand)
+await cli.runExit(process.argv.slice(2))
