Let a few instances of each zone follow the platform for the others

Cause: the capacity table gave 4,662 platform reads a second at 3,700 instances, against 2,000 that the platform takes: each instance held a watch and read the list each second. Change: two instances of a zone, by rendezvous hash among the live ones, watch the configuration; the others pull changes from peers and read the object once a minute. Reads of the list are spread so that the fleet makes at most 200 a second.

Still above its target: heartbeats (7,068 B/s) and the list (25,238 B/s for each instance), against 3,000 B/s.

--- a/packages/bench/src/slopes/capacity.ts
+++ b/packages/bench/src/slopes/capacity.ts
@@ -3,6 +3,7 @@
  */
 import type { BlockCosts, PeerCosts, SiteCosts } from './slopes.js'
 import type { Slope } from './measure.js'
+import { LIST_READS_PER_SECOND, WATCHERS_PER_ZONE } from '@arbutustray/core'
 import { DESIGN_SIZE } from './sample-data.js'
 
 /** Everything that was measured. */
@@ -26,10 +27,12 @@
 const MIB = 1_048_576
 /** Heartbeats sent each second, and the answers to those received, which carry a heartbeat too. */
 const HEARTBEATS_SENT = 12
-/** Reads of the platform's list each second by an instance. */
-const LIST_READS = 1
+/** Reads of the platform's list each second by an instance of a fleet of the design size. */
+const LIST_READS = LIST_READS_PER_SECOND / DESIGN_SIZE.instances
 /** A watch is renewed after this time without a change. */
 const WATCH_SECONDS = 25
+/** An instance that does not watch reads an object after this time. */
+const UNWATCHED_READ_SECONDS = 60
 const CORE_TARGET_PERCENT = 4.7
 const MEMORY_TARGET_MIB = 128
 const TRAFFIC_TARGET_BYTES = 3_000
@@ -52,7 +55,7 @@
   const apply = percentOfCore(changes * at(sites.applyMicroseconds, siteCount))
   return [
     { item: 'membership: ticks and heartbeats', value: membership, unit: '% of a core' },
-    { item: 'platform list: adopting it each second', value: list, unit: '% of a core' },
+    { item: 'platform list: adopting it', value: list, unit: '% of a core' },
     { item: 'configuration: applying changes', value: apply, unit: '% of a core' },
     { item: 'control in all', value: membership + list + apply, unit: '% of a core', target: CORE_TARGET_PERCENT }
   ]
@@ -78,7 +81,7 @@
   const changes = changesPerDay / SECONDS_PER_DAY
   return [
     { item: 'heartbeats sent, without HTTP headers', value: HEARTBEATS_SENT * peers.heartbeatBytes, unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
-    { item: 'configuration by watch, whole object for each change', value: changes * at(sites.wireBytes, siteCount), unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
+    { item: 'configuration by watch at a watcher, whole object for each change', value: changes * at(sites.wireBytes, siteCount), unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
     { item: 'configuration by changes from a peer', value: changes * sites.changeBytes, unit: 'B/s', target: TRAFFIC_TARGET_BYTES },
     { item: 'platform list, entry instances only', value: LIST_READS * at(peers.listBytes, instances), unit: 'B/s', target: TRAFFIC_TARGET_BYTES }
   ]
@@ -86,11 +89,14 @@
 
 /** Reads of the platform each second by the whole fleet. */
 function platformRows (): readonly CapacityRow[] {
-  const { instances, changesPerDay } = DESIGN_SIZE
+  const { instances, zones, changesPerDay } = DESIGN_SIZE
   const changes = changesPerDay / SECONDS_PER_DAY
-  const watches = instances * (changes + 1 / WATCH_SECONDS)
+  const watchers = zones * WATCHERS_PER_ZONE
+  // Watchers hold a watch of the configuration and one of the client blocks; the others read both now and then.
+  const watches = watchers * (changes + 2 / WATCH_SECONDS) + (instances - watchers) * 2 / UNWATCHED_READ_SECONDS
   return [
-    { item: 'watches of the configuration by all instances', value: watches, unit: 'calls/s' },
+    { item: 'watches and reads of configuration and client blocks by all instances', value: watches, unit: 'calls/s' },
+    { item: 'watches that wait at any time', value: 2 * watchers, unit: 'calls' },
     { item: 'reads of the list by all instances', value: instances * LIST_READS, unit: 'calls/s' },
     { item: 'platform reads in all', value: watches + instances * LIST_READS, unit: 'calls/s', target: READS_TARGET },
     { item: 'platform writes: configuration changes', value: changes, unit: 'calls/s', target: 300 }
--- /dev/null
+++ b/packages/core/tests/membership/platform-duty.test.ts
@@ -0,0 +1,44 @@
+import type { World } from '../../src/tables.js'
+import { describe, expect, it } from 'vitest'
+import { createWorld, runSystems } from '../../src/engine.js'
+import { createMembershipSystem } from '../../src/membership/membership-system.js'
+import { SILENT_AFTER_MS } from '../../src/membership/instance-table.js'
+import { WATCHERS_PER_ZONE, platformDuty } from '../../src/membership/platform-duty.js'
+import { heartbeatOf, self } from '../fixtures.js'
+
+const ZONE_SIZE = 46
+
+function zoneWorlds (): readonly World[] {
+  const ids = Array.from({ length: ZONE_SIZE }, (_, index) => `i${index}`)
+  return ids.map(id => {
+    const world = createWorld(self(id, 'z1'))
+    const systems = [createMembershipSystem(world)]
+    for (const other of ids.filter(row => row !== id)) {
+      runSystems(systems, { type: 'heartbeat-received', heartbeat: heartbeatOf(self(other, 'z1')) }, 0)
+    }
+    return world
+  })
+}
+
+describe('platformDuty', () => {
+  it('names the same few watchers everywhere, guarding against a fleet that exceeds the rates of the platform', () => {
+    const watchers = zoneWorlds().filter(world => platformDuty(world).watchesConfiguration)
+    expect(watchers).toHaveLength(WATCHERS_PER_ZONE)
+  })
+
+  it('takes the duty over once the watchers are silent, guarding against a zone that nobody watches for', () => {
+    for (const world of zoneWorlds()) {
+      runSystems([createMembershipSystem(world)], { type: 'tick' }, SILENT_AFTER_MS + 1)
+      expect(platformDuty(world).watchesConfiguration).toBe(true)
+    }
+  })
+
+  it('reads the list each second in a small fleet and spreads the reads in a large one', () => {
+    const world = createWorld(self('i0', 'z1'))
+    expect(platformDuty(world).listPeriodMs).toBe(1_000)
+    const entries = Array.from({ length: 3_700 }, (_, index) => (
+      { id: `i${index}`, role: 'entry', zone: `z${index % 80}`, address: 'a', peerAddress: 'p', state: 'live' } as const))
+    runSystems([createMembershipSystem(world)], { type: 'list-received', entries }, 0)
+    expect(platformDuty(world).listPeriodMs).toBe(18_500)
+  })
+})
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -2,7 +2,7 @@
  * Builds one entry instance from its parts: the engine, the loop, the ports and the platform's watch.
  */
 import { randomInt, randomUUID } from 'node:crypto'
-import { createEngine, runLoop } from '@arbutustray/core'
+import { createEngine, platformDuty, runLoop } from '@arbutustray/core'
 import type { Engine } from '@arbutustray/core'
 import { createConfigurationWriter, createHttpPlatform } from '@arbutustray/platform'
 import type { EntrySettings } from '@arbutustray/settings'
@@ -109,7 +109,7 @@
 
   const platform = createHttpPlatform({ url: settings.platformUrl })
   const sync = startPlatformSync({
-    platform, emit, onClientBlocks: table => { engine.world.clientBlocks = table }, telemetry
+    platform, emit, duty: () => platformDuty(engine.world), onClientBlocks: table => { engine.world.clientBlocks = table }, telemetry
   })
   const loadPoll = startLoadPoll({ engine, emit, telemetry })
   const intake = createIntake({
--- a/packages/entry/src/platform-calls.ts
+++ b/packages/entry/src/platform-calls.ts
@@ -11,11 +11,14 @@
 const FIRST_BACKOFF_MS = 500
 const LONGEST_BACKOFF_MS = 10_000
 
+/** Makes one call; `undefined` when there was nothing to call for. */
+export type RepeatedCall = () => Promise<Result<unknown, PlatformError> | undefined>
+
 export interface PlatformCalls {
   /** Aborted by `stop`. */
   readonly signal: AbortSignal
   /** Repeats a call until the stop, `pauseMs` after each success. */
-  readonly repeat: (call: string, pauseMs: number, run: () => Promise<Result<unknown, PlatformError>>) => void
+  readonly repeat: (call: string, pauseMs: () => number, run: RepeatedCall) => void
   readonly pause: (ms: number) => Promise<void>
   /** The last call of this name failed. */
   readonly isFailing: (call: string) => boolean
@@ -31,16 +34,20 @@
     if (ms > 0) await sleep(ms, undefined, { signal: abort.signal, ref: false }).catch(() => {})
   }
 
-  async function loop (call: string, pauseMs: number, run: () => Promise<Result<unknown, PlatformError>>): Promise<void> {
+  async function loop (call: string, pauseMs: () => number, run: RepeatedCall): Promise<void> {
     let backoffMs = FIRST_BACKOFF_MS
     while (!abort.signal.aborted) {
       const result = await run()
       if (abort.signal.aborted) return
+      if (result === undefined) {
+        await pause(pauseMs())
+        continue
+      }
       telemetry.metrics.increment('arbutustray_platform_calls_total', { call, result: result.isOk() ? 'ok' : 'error' })
       if (result.isOk()) {
         if (failing.delete(call)) telemetry.log('platform-available', { call })
         backoffMs = FIRST_BACKOFF_MS
-        await pause(pauseMs)
+        await pause(pauseMs())
         continue
       }
       // Half of the time is random, so that instances do not return at once when the platform recovers.
--- a/packages/entry/src/platform-sync.ts
+++ b/packages/entry/src/platform-sync.ts
@@ -8,13 +8,17 @@
 import type { Telemetry } from '@arbutustray/telemetry'
 import { ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import type { BlockTable } from '@arbutustray/core'
+import type { BlockTable, PlatformDuty } from '@arbutustray/core'
 import { CLIENT_BLOCKS_OBJECT, loadClientBlocks } from './client-blocks.js'
 import type { Emit } from './event-source.js'
 import { startPlatformCalls } from './platform-calls.js'
 
-/** Period of the list's reading, in milliseconds. */
-const LIST_PERIOD_MS = 1_000
+/** A missing configuration object is asked for again after this time, in milliseconds. */
+const MISSING_OBJECT_PAUSE_MS = 1_000
+/** An instance that does not watch looks this often whether it has to, in milliseconds. */
+const DUTY_PERIOD_MS = 1_000
+/** It reads the object itself after this time, in case that no peer has told it of a version, in milliseconds. */
+const UNWATCHED_READ_MS = 60_000
 
 /** Client blocks are optional; a platform that answers a watch of a missing object at once is asked this often. */
 const MISSING_BLOCKS_PAUSE_MS = 10_000
@@ -28,27 +32,36 @@
 export interface PlatformSyncOptions {
   readonly platform: Pick<ObjectStore, 'get' | 'watch'> & InstanceList
   readonly emit: Emit
+  /** Which calls this instance makes. */
+  readonly duty: () => PlatformDuty
   readonly onClientBlocks: (table: BlockTable) => void
   readonly telemetry: Telemetry
 }
 
 /** Starts the loops. */
 export function startPlatformSync (options: PlatformSyncOptions): PlatformSync {
-  const { platform, emit, telemetry } = options
+  const { platform, emit, duty, telemetry } = options
   const calls = startPlatformCalls(telemetry)
   let blocksVersion = 0
   let objectVersion = 0
   let answered = false
+  let readAt = -Infinity
 
   /** Reads the object first: a watch of an object that does not exist yet would only answer after its limit. */
-  async function follow (): Promise<Result<unknown, PlatformError>> {
-    const result = answered
+  async function follow (): Promise<Result<unknown, PlatformError> | undefined> {
+    const watches = duty().watchesConfiguration
+    if (answered && !watches && performance.now() - readAt < UNWATCHED_READ_MS) {
+      await calls.pause(DUTY_PERIOD_MS)
+      return undefined
+    }
+    readAt = performance.now()
+    const result = answered && watches
       ? await platform.watch(CONFIGURATION_OBJECT, objectVersion, calls.signal)
       : await platform.get(CONFIGURATION_OBJECT)
     if (result.isErr() && result.error.type === 'not-found') {
       // A new platform holds no configuration; the first change starts from version 0.
       emit({ type: 'configuration-received', configuration: EMPTY_CONFIGURATION, source: 'platform' })
-      if (answered) await calls.pause(LIST_PERIOD_MS)
+      if (answered) await calls.pause(MISSING_OBJECT_PAUSE_MS)
       answered = true
       return ok(undefined)
     }
@@ -70,13 +83,19 @@
   }
 
   async function followBlocks (): Promise<Result<unknown, PlatformError>> {
-    const index = await platform.watch(CLIENT_BLOCKS_OBJECT, blocksVersion, calls.signal)
+    const watches = duty().watchesConfiguration
+    // Peers do not pass client blocks on, so an instance that does not watch reads them now and then.
+    if (blocksVersion > 0 && !watches) await calls.pause(UNWATCHED_READ_MS)
+    const index = watches
+      ? await platform.watch(CLIENT_BLOCKS_OBJECT, blocksVersion, calls.signal)
+      : await platform.get(CLIENT_BLOCKS_OBJECT)
     if (index.isErr() && index.error.type === 'not-found') {
       await calls.pause(MISSING_BLOCKS_PAUSE_MS)
       return ok(undefined)
     }
     if (index.isErr() || index.value === undefined) return index
     const { version, value } = index.value
+    if (version === blocksVersion) return index
     const loaded = await loadClientBlocks(platform, value)
     if (loaded.isErr()) return loaded
     blocksVersion = version
@@ -85,9 +104,9 @@
     return index
   }
 
-  calls.repeat('watch', 0, follow)
-  calls.repeat('client-blocks', 0, followBlocks)
-  calls.repeat('list', LIST_PERIOD_MS, list)
+  calls.repeat('watch', () => 0, follow)
+  calls.repeat('client-blocks', () => 0, followBlocks)
+  calls.repeat('list', () => duty().listPeriodMs, list)
   return {
     reachable: () => answered && !calls.isFailing('watch') && !calls.isFailing('list'),
     stop: calls.stop
