Write lost attempts off, and sharpen the tests of the limits

Cause: attempts that an upstream lost counted again once it was cleared, so that it became a suspect again after about 30 ms, although it completed its probes. Change: attempts from before a suspicion of 25 service times no longer count at all. Tests for a return between two reads, peers that are listed but unheard, lost attempts; the link property uses rates at which the division shows.

--- a/packages/core/src/limits/straggler-detector.ts
+++ b/packages/core/src/limits/straggler-detector.ts
@@ -24,7 +24,7 @@
 
 /** State of one upstream. Read by the selector, changed only through the functions below. */
 export interface Pace {
-  /** Outstanding attempts by length. */
+  /** Outstanding attempts by length, without those that count as lost. */
   readonly active: { [L in LengthClass]: number }
   /** Moving mean of the service time by length, in milliseconds; undefined before the first completion. */
   readonly meanMs: { [L in LengthClass]: number | undefined }
@@ -34,6 +34,8 @@
   suspectSince: number
   /** Outstanding attempts that started since then, by length. */
   readonly probes: { [L in LengthClass]: number }
+  /** Start of the suspicion whose earlier attempts count as lost, by length. */
+  readonly lostBefore: { [L in LengthClass]: number }
   updatedAt: number
 }
 
@@ -46,10 +48,10 @@
 /** A single sample counts as at most this many times the mean, so that one spell does not change the mean much. */
 const CLIP = 4
 /**
- * Attempts from before a suspicion stop counting when it has lasted this many service times. An upstream that lost
+ * Attempts from before a suspicion count as lost when it has lasted this many service times. An upstream that lost
  * them would otherwise stay a suspect until their deadlines, although it completes its probes.
  */
-const OLD_ATTEMPTS_SERVICE_TIMES = 25
+const LOST_SERVICE_TIMES = 25
 
 /** Creates the state of an upstream that was not used yet. */
 export function createPace (now: number): Pace {
@@ -60,6 +62,7 @@
     suspect: false,
     suspectSince: -Infinity,
     probes: { short: 0, long: 0 },
+    lostBefore: { short: -Infinity, long: -Infinity },
     updatedAt: now
   }
 }
@@ -67,8 +70,11 @@
 function exposureOf (pace: Pace, length: LengthClass, usualMs: number, elapsed: number, now: number): number {
   if (pace.active[length] === 0) return 0
   const meanMs = Math.max(LEAST_MEAN_MS, pace.meanMs[length] ?? usualMs)
-  const old = pace.suspect && now - pace.suspectSince > OLD_ATTEMPTS_SERVICE_TIMES * meanMs
-  return elapsed / meanMs * (old ? pace.probes[length] : pace.active[length])
+  if (pace.suspect && pace.lostBefore[length] < pace.suspectSince && now - pace.suspectSince > LOST_SERVICE_TIMES * meanMs) {
+    pace.lostBefore[length] = pace.suspectSince
+    pace.active[length] = pace.probes[length]
+  }
+  return elapsed / meanMs * pace.active[length]
 }
 
 /** Adds the exposure since the last update. `usualMs` are the service times for lengths without a mean. */
@@ -82,6 +88,21 @@
   if (!pace.suspect && pace.score >= tuning.suspectAt) suspectPace(pace, tuning, now)
 }
 
+/** Counts a start after `advancePace`. Returns the start of the suspicion if the attempt is a probe. */
+export function startPace (pace: Pace, length: LengthClass): number | undefined {
+  pace.active[length] += 1
+  if (!pace.suspect) return undefined
+  pace.probes[length] += 1
+  return pace.suspectSince
+}
+
+/** Counts the end of an attempt after `advancePace`. `probeOf` is what `startPace` returned. */
+export function endPace (pace: Pace, length: LengthClass, startedAt: number, probeOf: number | undefined): void {
+  if (probeOf === pace.suspectSince) pace.probes[length] -= 1
+  const lost = startedAt <= pace.lostBefore[length] && probeOf !== pace.lostBefore[length]
+  if (!lost) pace.active[length] -= 1
+}
+
 /** Counts a completion after `advancePace`. */
 export function completePace (pace: Pace, length: LengthClass, serviceMs: number, usualMs: number, tuning: StragglerTuning): void {
   const mean = pace.meanMs[length] ?? usualMs
--- a/packages/core/src/limits/upstream-selector.ts
+++ b/packages/core/src/limits/upstream-selector.ts
@@ -10,7 +10,7 @@
 import { unsafeSkipN, xoroshiro128plus } from 'pure-rand'
 import { createConfigurationIndex } from './configuration-index.js'
 import { createGroupIndex } from './group-index.js'
-import { advancePace, completePace, createPace, STRAGGLER_TUNING, suspectPace } from './straggler-detector.js'
+import { advancePace, completePace, createPace, endPace, startPace, STRAGGLER_TUNING, suspectPace } from './straggler-detector.js'
 
 /** How an attempt ended. `refused`: it did not run. `failed`: it may have run. */
 export type AttemptEnd = 'finished' | 'refused' | 'failed' | 'cancelled'
@@ -168,9 +168,7 @@
     const row = rowOf(upstreamId, now)
     advancePace(row, timesOf(service), tuning, now)
     const length = row.lastLength
-    row.active[length] += 1
-    if (row.suspect) row.probes[length] += 1
-    started.set(attemptId, { upstreamId, service, length, at: now, probeOf: row.suspect ? row.suspectSince : undefined })
+    started.set(attemptId, { upstreamId, service, length, at: now, probeOf: startPace(row, length) })
   }
 
   function hold (row: Row, usualMs: number, now: number): void {
@@ -198,8 +196,7 @@
     const row = rowOf(upstreamId, now)
     const times = timesOf(attempt.service)
     advancePace(row, times, tuning, now)
-    row.active[attempt.length] -= 1
-    if (attempt.probeOf === row.suspectSince) row.probes[attempt.length] -= 1
+    endPace(row, attempt.length, attempt.at, attempt.probeOf)
     if (ended === 'finished') finish(row, attempt, now)
     if (ended === 'refused') hold(row, times.short, now)
     if (ended === 'failed') {
--- a/packages/core/tests/limits/budgets.test.ts
+++ b/packages/core/tests/limits/budgets.test.ts
@@ -13,8 +13,8 @@
 
 describe('createLinkBudget', () => {
   it('keeps all instances of a region under the rate, guarding against a link that is filled by their sum', () => {
-    const chunk = fc.record({ instance: fc.nat(2), bytes: fc.integer({ min: 1, max: 200_000 }), after: fc.nat(20), short: fc.boolean() })
-    fc.assert(fc.property(fc.array(chunk, { maxLength: 200 }), fc.integer({ min: 1, max: 4_000 }), (chunks, mbit) => {
+    const chunk = fc.record({ instance: fc.nat(2), bytes: fc.integer({ min: 1, max: 65_536 }), after: fc.nat(50), short: fc.boolean() })
+    fc.assert(fc.property(fc.array(chunk, { minLength: 100, maxLength: 300 }), fc.integer({ min: 1, max: 40 }), (chunks, mbit) => {
       const budgets = [0, 1, 2].map(() => createLinkBudget(linked(mbit, 3)))
       const burst = Math.max(65_536, mbit * 125 / 3 * 50)
       let now = 0
@@ -25,8 +25,8 @@
         budgets[instance].take('r1', 'r2', bytes, now)
         sent += bytes
       }
-      // Each instance may use its burst, half of it as debt, and one transfer above its burst.
-      expect(sent).toBeLessThanOrEqual(now * mbit * 125 + 3 * (1.5 * burst + 200_000))
+      // Each instance may use its burst, and half of it as debt.
+      expect(sent).toBeLessThanOrEqual(now * mbit * 125 + 3 * 1.5 * burst + 1)
     }))
   })
 
--- a/packages/core/tests/limits/slot-limits.test.ts
+++ b/packages/core/tests/limits/slot-limits.test.ts
@@ -72,6 +72,8 @@
     expect(limits.limit('u1', 23_600)).toBe(share + 1)
     addInstance(world, 'i2', { state: 'silent', heardAt: 20_500 })
     expect(limits.limit('u1', 24_100)).toBe(share + 2)
+    addInstance(world, 'i2', { state: 'silent', heardAt: 24_200 })
+    expect(limits.limit('u1', 27_200)).toBe(share)
   })
 
   it('backs off after a refusal and stops growth for 2 s, guarding against an upstream that keeps refusing', () => {
@@ -101,11 +103,12 @@
     expect(limits.limit('u2', 4_000)).toBe(0)
   })
 
-  it('counts unheard peers as present for 3 s, guarding against an instance that takes all slots at its start', () => {
-    const world = worldOf(configurationOf({ z1: 2 }))
+  it.each([false, true])('counts unheard peers as present for 3 s (listed: %s), guarding against an instance that takes all slots at its start', listed => {
+    const world = worldOf(configurationOf({ z1: 2 }, 8))
+    if (listed) addInstance(world, 'i2', { state: 'silent', heardAt: -Infinity })
     addUpstream(world, 'u1')
     const limits = limitsOf(world)
-    expect([100, 3_100, 3_600, 5_600].map(now => limits.limit('u1', now))).toEqual([4, 4, 5, 9])
+    expect([100, 1_000, 3_100, 3_600, 5_100].map(now => limits.limit('u1', now))).toEqual([4, 4, 4, 5, 8])
   })
 
   it('ramps a cold upstream linearly, guarding against full load on empty caches', () => {
--- a/packages/core/tests/limits/upstream-selector.test.ts
+++ b/packages/core/tests/limits/upstream-selector.test.ts
@@ -85,6 +85,14 @@
     expect([start(700, 'short', onlyFirst), start(700, 'short', onlyFirst)].map(attempt => attempt?.upstreamId)).toEqual(['u0', 'u0'])
   })
 
+  it('clears an upstream that lost attempts once it completes probes, guarding against a suspicion that lasts until deadlines', () => {
+    const { start, serve } = setUp(3)
+    serve('u0', 20, 20, 0)
+    for (let count = 0; count < 4; count += 1) start(400, 'short', new Set(['u1', 'u2']))
+    serve('u0', 60, 20, 600)
+    expect([1, 2].map(() => start(1_800, 'short', new Set(['u1', 'u2']))?.upstreamId)).toEqual(['u0', 'u0'])
+  })
+
   it('uses all upstreams when most are slow, guarding against a service that is held at one probe each', () => {
     const { start, serve } = setUp(2)
     serve('u0', 20, 20, 0)
