Estimate the own wait by the head of the queue too

Cause: with stragglers the own zone serves less than its slots promise, so requests waited in its queue while another zone was faster. Change: the own wait is at least the time that the next queued request has waited.

--- a/packages/core/src/routing/request-queues.ts
+++ b/packages/core/src/routing/request-queues.ts
@@ -15,6 +15,8 @@
   /** `false` when the queue is full. */
   push (request: Request): boolean
   size (service: string, length: LengthClass): number
+  /** The request that is served next. */
+  next (service: string, length: LengthClass): string | undefined
   /** Queues of the service that are not empty, in the order in which they are served. */
   waiting (service: string): ReadonlyArray<{ readonly length: LengthClass, readonly queue: FairQueue<string> }>
   services (): Iterable<string>
@@ -41,6 +43,7 @@
   return {
     push: request => queuesOf(request.service)[request.length].push(request.tenant, request.id),
     size: (service, length) => queues.get(service)?.[length].size ?? 0,
+    next: (service, length) => queues.get(service)?.[length].peek(),
     waiting (service) {
       const found = queues.get(service)
       if (found === undefined || found.short.size + found.long.size === 0) return []
--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -23,13 +23,18 @@
   return length === 'short' ? 1 : context.rows.rule(service)?.longShare ?? 1
 }
 
-/** Expected wait of one more request behind those that already wait in the own zone, in milliseconds. */
+/**
+ * Expected wait of one more request behind those that already wait in the own zone, in milliseconds. It is at least
+ * the time that the next one has waited, because stragglers serve less than their slots promise.
+ */
 export function ownWaitMs (context: RoutingContext, service: string, length: LengthClass, now: number): number {
   const total = context.parts.slots.total(service, context.world.self.zone, now)
   if (total === 0) return Infinity
   const slots = Math.max(1, Math.floor(total * slotShare(context, service, length)))
   const ahead = context.queues.size(service, length) + 1
-  return ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
+  const waitMs = ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
+  const next = context.world.requests.get(context.queues.next(service, length) ?? '')
+  return next === undefined ? waitMs : Math.max(waitMs, now - next.arrivedAt)
 }
 
 /** Wait at a peer. One that refused has no queue for forwarded work, so only a free slot counts there. */
--- /dev/null
+++ b/packages/core/tests/routing/peer-load.test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from 'vitest'
+import { createPeerLoad } from '../../src/routing/peer-load.js'
+import { createTestWorld } from './simple-parts.js'
+
+const peer = { ...createTestWorld(0).instances.get('p2')!, headroomAt: 10 }
+const free = (load: ReturnType<typeof createPeerLoad>, now: number, headroomAt = 10): number =>
+  load.freeSlots({ ...peer, headroomAt }, 's', 'short', now).free
+
+describe('peer load', () => {
+  it('counts a forward once, guarding against slots that stay unused because the headroom includes it', () => {
+    const load = createPeerLoad()
+    load.recordStart('p2', 's')
+    expect(free(load, 11)).toBe(0)
+    load.recordHeadroom('p2')
+    expect(free(load, 12)).toBe(1)
+    load.recordEnd('p2', 's', true)
+    expect(free(load, 13)).toBe(2)
+  })
+
+  it('admits after a refusal what ends, grows with answers, and probes, guarding against a peer that stays closed', () => {
+    const load = createPeerLoad()
+    for (let count = 0; count < 3; count += 1) load.recordStart('p2', 's')
+    load.recordEnd('p2', 's', false)
+    load.recordRefusal('p2', 's', 'short', 20)
+    expect([free(load, 20), free(load, 20, 21)]).toEqual([0, -1])
+    load.recordEnd('p2', 's', false)
+    expect(free(load, 21)).toBe(1)
+    for (let count = 0; count < 10; count += 1) {
+      load.recordStart('p2', 's')
+      load.recordEnd('p2', 's', true)
+    }
+    expect(free(load, 22)).toBe(2)
+    const closed = createPeerLoad()
+    closed.recordRefusal('p2', 's', 'short', 20)
+    expect([free(closed, 119), free(closed, 120)]).toEqual([0, 1])
+  })
+})
--- a/packages/core/tests/routing/placement.test.ts
+++ b/packages/core/tests/routing/placement.test.ts
@@ -90,6 +90,18 @@
     expect(handle({ type: 'attempt-answered', attemptId: 'a1', status: 200 }, 8)).toEqual([])
   })
 
+  it('sends a streamed body once, guarding against a second attempt that has no body to send', () => {
+    const { handle, arrive } = setUp(2, { hedges })
+    arrive('q1', '/repeatable', { singleUseBody: true })
+    expect(handle({ type: 'tick' }, 5)).toEqual([])
+    handle({ type: 'attempt-written', attemptId: 'a1' }, 6)
+    expect(handle({ type: 'attempt-failed', attemptId: 'a1', truncated: false }, 7)).toMatchObject(
+      [{ type: 'respond', outcome: 'unknown', reason: 'upstream-failed' }])
+    arrive('q2', '/plain', {}, 8)
+    expect(handle({ type: 'attempt-refused', attemptId: 'a2', proof: 'shed', bodyConsumed: true }, 9)).toMatchObject(
+      [{ type: 'respond', outcome: 'not-run', reason: 'upstream-refused' }])
+  })
+
   it('does not hedge plain requests or without headroom, guarding against second runs and added load', () => {
     const { handle, arrive } = setUp(2, { hedges })
     arrive('q1', '/plain')
--- /dev/null
+++ b/packages/core/tests/routing/timer-heap.test.ts
@@ -0,0 +1,14 @@
+import fc from 'fast-check'
+import { expect, it } from 'vitest'
+import { createTimerHeap } from '../../src/routing/timer-heap.js'
+
+it('gives what is due in the order of time, also after compaction, guarding against a deadline that is missed', () => {
+  fc.assert(fc.property(fc.array(fc.nat(50)), fc.nat(50), (times, now) => {
+    const heap = createTimerHeap()
+    for (const [index, at] of times.entries()) heap.add(at, `${index}`)
+    heap.compact(id => Number(id) % 3 !== 0)
+    const due: number[] = []
+    for (let id = heap.takeDue(now); id !== undefined; id = heap.takeDue(now)) due.push(times[Number(id)]!)
+    expect(due).toEqual(times.filter((at, index) => index % 3 !== 0 && at <= now).sort((a, b) => a - b))
+  }))
+})
