--- a/packages/bench/src/policy/fleet.ts
+++ b/packages/bench/src/policy/fleet.ts
@@ -9,7 +9,7 @@
 import type { TracedRequest } from './trace.js'
 import type { VirtualTime } from './virtual-time.js'
 import { createNodeFake } from './node-fake.js'
-import { createConfiguration, delayMs } from './profile.js'
+import { clientAddress, createClientBlocks, createConfiguration, delayMs } from './profile.js'
 
 export interface FleetOptions {
   readonly time: VirtualTime
@@ -25,6 +25,8 @@
   readonly send: (request: TracedRequest) => void
   /** Replaces the configuration of every live node. */
   readonly configure: (change: (configuration: ReturnType<typeof createConfiguration>) => ReturnType<typeof createConfiguration>) => void
+  /** Starts a node again and gives it the configuration and the list, as the platform does before it is ready. */
+  readonly restart: (node: NodeFake) => void
   /** Requests that wait for an answer. */
   readonly waiting: () => number
 }
@@ -66,12 +68,16 @@
     again()
   }
 
+  const clientBlocks = createClientBlocks(profile)
+
+  function prepare (node: NodeFake): void {
+    node.engine.world.clientBlocks = clientBlocks
+    node.deliver({ type: 'configuration-received', configuration, source: 'platform' })
+    node.deliver({ type: 'list-received', entries: list() })
+  }
+
   function deliverList (): void {
-    const entries = list()
-    for (const node of nodes) {
-      node.deliver({ type: 'configuration-received', configuration, source: 'platform' })
-      node.deliver({ type: 'list-received', entries })
-    }
+    for (const node of nodes) prepare(node)
   }
 
   function reportLoad (): void {
@@ -118,12 +124,18 @@
       service: request.kind.service,
       method: request.kind.method,
       path: request.kind.path,
+      client: clientAddress(profile, request.zone, request.tenant),
       contentLength: request.kind.length === 'long' ? request.kind.bytes : 0,
       ...(keys?.isOk() === true ? { key: keys.value.keys[0]! } : {})
     }
+    let started = false
     node.accept(event, {
       workMs: request.workMs,
-      onStart: () => measures.recordWait(request, time.now() - request.at),
+      // Hedges start the work a second time; the caller waited for the first start only.
+      onStart: () => {
+        if (!started) measures.recordWait(request, time.now() - request.at)
+        started = true
+      },
       onEnd: result => time.after(profile.clientDelayMs, () => end(request, result))
     })
   }
@@ -160,6 +172,10 @@
       configuration = { ...change(configuration), version: configuration.version + 1 }
       for (const node of nodes) node.deliver({ type: 'configuration-received', configuration, source: 'platform' })
     },
+    restart: node => {
+      node.restart()
+      prepare(node)
+    },
     waiting: () => waiting
   }
 }
--- a/packages/bench/src/policy/scenarios.ts
+++ b/packages/bench/src/policy/scenarios.ts
@@ -6,6 +6,7 @@
 import type { Disturbance } from './replay.js'
 import type { TraceOptions } from './trace.js'
 import { SYSTEM, replay } from './replay.js'
+import { WARM_UP_MS } from './trace.js'
 import { regionOf } from './profile.js'
 
 export interface ScenarioOptions {
@@ -32,8 +33,10 @@
   /** p99 of short requests with slow spells against without, at 0.6 load. */
   readonly stragglerRatio60: number
   readonly stragglerRatio80: number
-  /** p99 wait of short requests with long work in the same service against without. */
+  /** p99 wait of short requests with the upload service at capacity against without uploads, at 0.6 load. */
   readonly shortWaitRatio: number
+  /** The same with long work for a fifth of the slots of the short requests' own service. */
+  readonly mixedWaitRatio: number
   /** Highest load of a region while a region fails and comes back; 1 is capacity. */
   readonly maxRegionLoad: number
   /** p99 of short requests in milliseconds, by policy and setting. */
@@ -76,13 +79,13 @@
   return ({ time, site, fleet }) => {
     const upstreams = site.upstreams.filter(upstream => regionOf(profile, upstream.zone) === region)
     const nodes = fleet.nodes.filter(node => regionOf(profile, node.zone) === region)
-    time.after(durationMs / 3, () => {
+    time.after(WARM_UP_MS + durationMs / 3, () => {
       for (const node of nodes) node.crash()
       for (const upstream of upstreams) upstream.crash()
     })
-    time.after(durationMs * 2 / 3, () => {
+    time.after(WARM_UP_MS + durationMs * 2 / 3, () => {
       for (const upstream of upstreams) upstream.restart()
-      for (const node of nodes) node.restart()
+      for (const node of nodes) fleet.restart(node)
     })
   }
 }
@@ -98,7 +101,7 @@
     trace: traceOptions(options, 0.6),
     disturbance: ({ time, site, fleet }) => {
       const upstream = site.upstreams[0]!
-      const drainAt = options.durationMs / 2
+      const drainAt = WARM_UP_MS + options.durationMs / 2
       started = upstream.started
       const poll = (): void => {
         if (upstream.running() === 0) idleMs = time.now() - drainAt
@@ -134,13 +137,15 @@
     }
   }
   const apart = run('short only 0.6', SYSTEM, traceOptions(options, 0.6, { uploadLoad: 0 }))
-  const mixed = run('with long work 0.6', SYSTEM, traceOptions(options, 0.6, { uploadLoad: 1, mixedLongLoad: 0.2 }))
+  const uploads = run('with uploads 0.6', SYSTEM, traceOptions(options, 0.6, { uploadLoad: 1 }))
+  const mixed = run('with long work 0.6', SYSTEM, traceOptions(options, 0.6, { mixedLongLoad: 0.2 }))
   const lost = run('region lost 0.6', SYSTEM, traceOptions(options, 0.6), loseRegion(profile, options.durationMs))
   const own = p99[SYSTEM]!
   return {
     stragglerRatio60: own['straggling 0.6']! / own['calm 0.6']!,
     stragglerRatio80: own['straggling 0.8']! / own['calm 0.8']!,
-    shortWaitRatio: mixed.wait.short!.p99 / apart.wait.short!.p99,
+    shortWaitRatio: uploads.wait.short!.p99 / apart.wait.short!.p99,
+    mixedWaitRatio: mixed.wait.short!.p99 / apart.wait.short!.p99,
     maxRegionLoad: lost.maxRegionLoad,
     p99,
     refusedShare,
