Check the rows of operations before the plan

Cause: the operator API passed rows of any shape to the engine; a service row without routes makes its checks throw, which ends the process. Ruled out: the configuration file's schema for drains, whose identifiers would refuse upstreams that are named by an address. Change: operation-schema.ts; an error names the field.

--- a/packages/entry/src/operator-server.ts
+++ b/packages/entry/src/operator-server.ts
@@ -10,6 +10,7 @@
 import type { Confirmation, ConfirmationAnswer } from './confirm.js'
 import type { RequestHandler } from './http-server.js'
 import { readJson } from './json-body.js'
+import { operation } from './operation-schema.js'
 import { sendJson } from './reject.js'
 import type { RequestIds } from './request-ids.js'
 import { readStatus, updateGauges } from './status.js'
@@ -27,12 +28,6 @@
 
 const BEARER = 'Bearer '
 
-/** Rows are checked when the plan is made, so that faults are named in its blockers. */
-const operation = z.union([
-  z.strictObject({ table: z.string(), put: z.looseObject({}) }),
-  z.strictObject({ table: z.string(), remove: z.string() })
-])
-
 const text = z.string().min(1).max(1_000)
 
 const PlanRequest = z.strictObject({ operations: z.array(operation) })
