Queue requests while all upstreams of a zone pause after a failure

A change of the total was ruled out, because a zone whose upstreams stay dead must not attract a queue. Change: the expected own wait is then the time until the first probe, so another zone is still preferred.

--- a/packages/core/src/limits/slot-limits.ts
+++ b/packages/core/src/limits/slot-limits.ts
@@ -1,7 +1,8 @@
 /**
  * Limits on the slots of each upstream that this instance may use. The limit is the instance's share of the slots.
  * While other instances that own shares are absent it grows one slot at a time, and every refusal by the upstream
- * lowers it; after a failure the upstream gets a probe at a time. Two instances that use the same slot do no harm, because the upstream refuses before it runs the request.
+ * lowers it; after a failure the upstream gets a probe at a time. Two instances that use the same slot do no harm,
+ * because the upstream refuses before it runs the request.
  */
 import type { Configuration, Service } from '../configuration.js'
 import type { Upstream, World } from '../tables.js'
@@ -29,6 +30,8 @@
   readonly free: (service: string, zone: string, now: number) => number
   /** Sum of the limits of a service in a zone. */
   readonly total: (service: string, zone: string, now: number) => number
+  /** Earliest time at which an upstream of the service in the zone may be used; `Infinity` if there is none. */
+  readonly usableAt: (service: string, zone: string, now: number) => number
 }
 
 /** Time in which a limit grows by one slot. */
@@ -188,6 +191,16 @@
     row.failures = Math.min(row.failures + 1, PAUSE_MOST_MS)
   }
 
+  function usableAt (service: string, zone: string, now: number): number {
+    if (zone !== world.self.zone && !inRegion(zone)) return Infinity
+    let earliest = Infinity
+    for (const id of upstreamsOf(`${service}@${zone}`, now)) {
+      const row = rowOf(id, now)
+      if (row !== undefined && slotsOf(row, now) > 0) earliest = Math.min(earliest, Math.max(now, row.pausedUntil))
+    }
+    return earliest
+  }
+
   function sum (service: string, zone: string, now: number, value: (upstreamId: string) => number): number {
     if (zone !== world.self.zone && !inRegion(zone)) return 0
     let total = 0
@@ -206,6 +219,7 @@
     },
     recordFailure,
     free: (service, zone, now) => sum(service, zone, now, id => Math.max(0, limit(id, now) - outstanding.count(id))),
-    total: (service, zone, now) => sum(service, zone, now, id => limit(id, now))
+    total: (service, zone, now) => sum(service, zone, now, id => limit(id, now)),
+    usableAt
   }
 }
--- a/packages/core/src/routing/queue-service.ts
+++ b/packages/core/src/routing/queue-service.ts
@@ -36,7 +36,7 @@
 function replaceStranded (context: RoutingContext, service: string, step: Step): void {
   const { zone } = context.world.self
   const accepts = context.hosting.accepts(service, zone)
-  if (accepts && context.parts.slots.total(service, zone, step.now) > 0) return
+  if (accepts && context.parts.slots.usableAt(service, zone, step.now) !== Infinity) return
   const stranded: Request[] = []
   for (const { queue } of context.queues.waiting(service)) {
     for (const id of queue.remove(() => true)) {
--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -28,11 +28,14 @@
  * the time that the next one has waited, because stragglers serve less than their slots promise.
  */
 export function ownWaitMs (context: RoutingContext, service: string, length: LengthClass, now: number): number {
-  const total = context.parts.slots.total(service, context.world.self.zone, now)
-  if (total === 0) return Infinity
+  const { slots: limits, upstreams } = context.parts
+  const { zone } = context.world.self
+  const total = limits.total(service, zone, now)
+  // All upstreams may pause after a failure for a moment; the request then waits for the first probe.
+  if (total === 0) return limits.usableAt(service, zone, now) - now + upstreams.expectedServiceMs(service, length)
   const slots = Math.max(1, Math.floor(total * slotShare(context, service, length)))
   const ahead = context.queues.size(service, length) + 1
-  const waitMs = ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
+  const waitMs = ahead * upstreams.expectedServiceMs(service, length) / slots
   const next = context.world.requests.get(context.queues.next(service, length) ?? '')
   return next === undefined ? waitMs : Math.max(waitMs, now - next.arrivedAt)
 }
--- a/packages/core/tests/limits/slot-limits.test.ts
+++ b/packages/core/tests/limits/slot-limits.test.ts
@@ -149,3 +149,15 @@
     expect(limits.total('s', 'z1', 11_000)).toBe(9)
   })
 })
+
+describe('usableAt', () => {
+  it('is the end of the pause after a failure, guarding against refusals while all upstreams pause for a moment', () => {
+    const world = worldOf(configurationOf({ z1: 1 }))
+    const limits = limitsOf(world)
+    expect(limits.usableAt('s', 'z1', 0)).toBe(Infinity)
+    addUpstream(world, 'u1')
+    expect(limits.usableAt('s', 'z1', 5)).toBe(5)
+    limits.recordFailure?.('u1', 5)
+    expect([limits.total('s', 'z1', 10), limits.usableAt('s', 'z1', 10)]).toEqual([0, 25])
+  })
+})
--- a/packages/core/tests/routing/simple-parts.ts
+++ b/packages/core/tests/routing/simple-parts.ts
@@ -114,7 +114,8 @@
       recordRefusal: () => {},
       recordCompletion: () => {},
       free: (service, zone) => live(service, zone).reduce((sum, row) => sum + SLOTS - outstanding(row.id), 0),
-      total: (service, zone) => live(service, zone).length * SLOTS
+      total: (service, zone) => live(service, zone).length * SLOTS,
+      usableAt: (service, zone, now) => live(service, zone).length > 0 ? now : Infinity
     },
     upstreams: {
       select: (service, zone, _length, exclude) => live(service, zone)
