Queue while the limits of the own upstreams are paused, and serve the queue only for freed slots

Each answer searched for a free slot that could not be there. Ruled out: a change of the trace; its outcome is as designed, a request waits until its deadline. Change: the own wait is infinite only without a live upstream; an answer serves the queue only when it cancelled another attempt.

--- a/packages/core/src/routing/attempt-events.ts
+++ b/packages/core/src/routing/attempt-events.ts
@@ -95,6 +95,7 @@
   const { attempt, request, progress } = found
   progress.answeredBy = attempt.id
   context.attempts.advance(attempt.id, 'answered')
+  const freesSlots = progress.open.length > 1
   cancelOpen(context, progress, step, attempt.id)
   setState(context, request, 'answering')
   const serviceMs = context.parts.upstreams.expectedServiceMs(request.service, request.length)
@@ -105,7 +106,8 @@
   step.commands.push({
     type: 'relay', requestId: request.id, attemptId: attempt.id, reason: servedReason(context, found)
   })
-  return request.service
+  // The queue is only served if the cancelled attempts freed slots.
+  return freesSlots ? request.service : undefined
 }
 
 /** The whole answer was read. */
--- a/packages/core/src/routing/queue-service.ts
+++ b/packages/core/src/routing/queue-service.ts
@@ -5,6 +5,7 @@
 import type { FairQueue } from '../limits/fair-queue.js'
 import type { RoutingContext, Step } from './routing-context.js'
 import { dispatch, place } from './placement.js'
+import { hasLiveUpstream } from './zone-selector.js'
 
 /** Removes queued requests that ended, so that they occupy no place in a queue. */
 export function sweepQueues (context: RoutingContext): void {
@@ -36,7 +37,7 @@
 function replaceStranded (context: RoutingContext, service: string, step: Step): void {
   const { zone } = context.world.self
   const accepts = context.hosting.accepts(service, zone)
-  if (accepts && context.parts.slots.total(service, zone, step.now) > 0) return
+  if (accepts && (context.parts.slots.total(service, zone, step.now) > 0 || hasLiveUpstream(context, service))) return
   const stranded: Request[] = []
   for (const { queue } of context.queues.waiting(service)) {
     for (const id of queue.remove(() => true)) {
--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -23,13 +23,25 @@
   return length === 'short' ? 1 : context.rows.rule(service)?.longShare ?? 1
 }
 
+/**
+ * Whether the own zone has an upstream that is not leaving. Its limit is 0 for a short time after a failure, and a
+ * request that may wait is not refused for that.
+ */
+export function hasLiveUpstream (context: RoutingContext, service: string): boolean {
+  const { self, upstreams } = context.world
+  for (const row of upstreams.values()) {
+    if (row.service === service && row.zone === self.zone && row.state === 'live') return true
+  }
+  return false
+}
+
 /**
  * Expected wait of one more request behind those that already wait in the own zone, in milliseconds. It is at least
  * the time that the next one has waited, because stragglers serve less than their slots promise.
  */
 export function ownWaitMs (context: RoutingContext, service: string, length: LengthClass, now: number): number {
   const total = context.parts.slots.total(service, context.world.self.zone, now)
-  if (total === 0) return Infinity
+  if (total === 0 && !hasLiveUpstream(context, service)) return Infinity
   const slots = Math.max(1, Math.floor(total * slotShare(context, service, length)))
   const ahead = context.queues.size(service, length) + 1
   const waitMs = ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
