--- a/packages/entry/src/upstream-client.ts
+++ b/packages/entry/src/upstream-client.ts
@@ -91,9 +91,8 @@
     if (exchange === undefined) return options.emit({ type: 'attempt-refused', attemptId, proof: 'not-written' })
     const { body } = exchange.options
     if (body.type === 'streamed' && body.consumed()) {
-      // The engine may not know yet that the body is gone; the caller is answered and the engine drops the request.
-      exchange.respond('not-run', 'upstream-refused', 503)
-      return options.emit({ type: 'request-cancelled', requestId: command.requestId })
+      // An earlier attempt may have run, so the engine decides on the outcome.
+      return options.emit({ type: 'attempt-refused', attemptId, proof: 'not-written', bodyConsumed: true })
     }
     const entry = poolFor(command.address)
     const hop = options.telemetry.traces.begin(route.hop, exchange.options.hop.traceparent)
