Run the selector trial on four seeds

Cause: with two seeds of 24 s of virtual time each, one rare coincidence of stragglers moved the p99 at load 0.8 by 5%. Change: four seeds. Trial: 300,000 requests by seed, seeds 11 to 14, p99 with stragglers and its ratio to the p99 without.

--- a/packages/bench/src/selector/main.ts
+++ b/packages/bench/src/selector/main.ts
@@ -11,7 +11,7 @@
 const NO_SPELLS = { ...SPELLS, share: 0 }
 const LOADS = [0.6, 0.8]
 const REQUESTS = 300_000
-const SEEDS = [11, 12]
+const SEEDS = [11, 12, 13, 14]
 
 const mean = (rows: readonly RunResult[], value: (row: RunResult) => number): number =>
   rows.reduce((sum, row) => sum + value(row), 0) / rows.length
