--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -23,20 +23,25 @@
   return length === 'short' ? 1 : context.rows.rule(service)?.longShare ?? 1
 }
 
-/** Expected wait of one more request behind those that already wait in the own zone, in milliseconds. */
+/**
+ * Expected wait of one more request behind those that already wait in the own zone, in milliseconds. It is at least
+ * the time that the next one has waited, because stragglers serve less than their slots promise.
+ */
 export function ownWaitMs (context: RoutingContext, service: string, length: LengthClass, now: number): number {
   const total = context.parts.slots.total(service, context.world.self.zone, now)
   if (total === 0) return Infinity
   const slots = Math.max(1, Math.floor(total * slotShare(context, service, length)))
   const ahead = context.queues.size(service, length) + 1
-  return ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
+  const waitMs = ahead * context.parts.upstreams.expectedServiceMs(service, length) / slots
+  const next = context.world.requests.get(context.queues.next(service, length) ?? '')
+  return next === undefined ? waitMs : Math.max(waitMs, now - next.arrivedAt)
 }
 
 /** Wait at a peer. One that refused has no queue for forwarded work, so only a free slot counts there. */
-function peerWaitMs (context: RoutingContext, instance: Instance, request: Request): number {
+function peerWaitMs (context: RoutingContext, instance: Instance, request: Request, now: number): number {
   const headroom = instance.headroom.get(request.service)
   if (headroom === undefined || headroom.slots === 0) return Infinity
-  const { free, refused } = context.peerLoad.freeSlots(instance, request.service, request.length)
+  const { free, refused } = context.peerLoad.freeSlots(instance, request.service, request.length, now)
   if (free > 0) return 0
   if (refused) return Infinity
   const ahead = headroom.queued + 1 - free
@@ -60,7 +65,7 @@
   for (const instance of instances.values()) {
     if (instance.state !== 'live' || progress.tried.has(instance.id)) continue
     if (!context.hosting.accepts(request.service, instance.zone)) continue
-    const waitMs = context.trips.estimateMs(instance.zone, distance(context, instance.zone)) + peerWaitMs(context, instance, request)
+    const waitMs = context.trips.estimateMs(instance.zone, distance(context, instance.zone)) + peerWaitMs(context, instance, request, now)
     if (waitMs >= leftMs || waitMs >= choice.waitMs) continue
     const moves = instance.zone !== request.originZone
     if (moves && !context.parts.shifts.mayMove(request.service, request.originZone, instance.zone, now)) {
