Count an upstream as dead only after three failures in a row

Change: after one or two failures the limit is 1 for probes, and the selector pauses the upstream; from the third on the limit is 0 during the pauses.

--- a/packages/core/src/limits/slot-limits.ts
+++ b/packages/core/src/limits/slot-limits.ts
@@ -21,8 +21,8 @@
   /** The upstream finished an attempt. Ends the effect of earlier failures. */
   readonly recordCompletion: (upstreamId: string, now: number) => void
   /**
-   * An attempt at the upstream failed or could not be connected. Until the next completion the limit is 0 for a pause
-   * that doubles with each further failure, and then 1 for a probe. The upstream selector calls it.
+   * An attempt at the upstream failed or could not be connected. Until the next completion the limit is 1 for probes,
+   * and from the third failure on 0 for a pause that doubles each time. The upstream selector calls it.
    */
   readonly recordFailure?: (upstreamId: string, now: number) => void
   /** Free slots of a service in a zone, within the limits. */
@@ -35,6 +35,8 @@
 const GROWTH_MS = 500
 /** Time after a refusal in which a limit does not grow. */
 const GROWTH_STOP_MS = 2_000
+/** Failures in a row from which an upstream counts as dead. Fewer occur when it restarts its listener. */
+const DEAD_FAILURES = 3
 /** First and longest pause after a failure. */
 const PAUSE_MS = 20
 const PAUSE_MOST_MS = 1_000
@@ -169,7 +171,7 @@
     if (row === undefined) return 0
     const slots = slotsOf(row, now)
     if (row.failures === 0) return slots
-    return now < row.pausedUntil ? 0 : Math.min(1, slots)
+    return row.failures >= DEAD_FAILURES && now < row.pausedUntil ? 0 : Math.min(1, slots)
   }
 
   function recordRefusal (upstreamId: string, now: number): void {
--- a/packages/core/src/limits/upstream-selector.ts
+++ b/packages/core/src/limits/upstream-selector.ts
@@ -60,9 +60,9 @@
 
 interface Row extends Pace {
   lastLength: LengthClass
-  /** Refusals since the last completion; those during a pause count as one. */
-  refusals: number
-  /** No selection before this time, after refusals. */
+  /** Refusals and failures since the last completion; those during a pause count as one. */
+  failures: number
+  /** No selection before this time, after refusals and failures. */
   heldUntil: number
 }
 
@@ -72,7 +72,7 @@
 const SERVICE_WEIGHT = 1 / 200
 /** A sample counts as at most this many times the service's mean, so that stragglers do not move it much. */
 const SERVICE_CLIP = 4
-/** Least and longest pause after a refusal. It starts at one usual service time and doubles each time. */
+/** Least and longest pause after a refusal or failure. It starts at one usual service time and doubles each time. */
 const HOLD_LEAST_MS = 10
 const HOLD_MOST_MS = 1_000
 const HOLD_DOUBLINGS = 10
@@ -107,7 +107,7 @@
     let row = rows.get(upstreamId)
     if (row === undefined) {
       if (rows.size >= PRUNE_AT) for (const id of rows.keys()) if (!world.upstreams.has(id)) rows.delete(id)
-      row = { ...createPace(now), lastLength: 'short', refusals: 0, heldUntil: -Infinity }
+      row = { ...createPace(now), lastLength: 'short', failures: 0, heldUntil: -Infinity }
       rows.set(upstreamId, row)
     }
     return row
@@ -174,8 +174,8 @@
   function hold (row: Row, usualMs: number, now: number): void {
     // Attempts that end together are one piece of evidence.
     if (now < row.heldUntil) return
-    const pause = Math.max(HOLD_LEAST_MS, usualMs) * 2 ** Math.min(row.refusals, HOLD_DOUBLINGS)
-    row.refusals += 1
+    const pause = Math.max(HOLD_LEAST_MS, usualMs) * 2 ** Math.min(row.failures, HOLD_DOUBLINGS)
+    row.failures += 1
     row.heldUntil = now + Math.min(HOLD_MOST_MS, pause)
   }
 
@@ -185,7 +185,7 @@
     const serviceMs = now - attempt.at
     completePace(row, length, serviceMs, times[length], tuning)
     times[length] += (Math.min(serviceMs, SERVICE_CLIP * times[length]) - times[length]) * SERVICE_WEIGHT
-    row.refusals = 0
+    row.failures = 0
     row.heldUntil = -Infinity
   }
 
@@ -198,7 +198,7 @@
     advancePace(row, times, tuning, now)
     endPace(row, attempt.length, attempt.at, attempt.probeOf)
     if (ended === 'finished') finish(row, attempt, now)
-    if (ended === 'refused') hold(row, times.short, now)
+    if (ended === 'refused' || ended === 'failed') hold(row, times.short, now)
     if (ended === 'failed') {
       suspectPace(row, tuning, now)
       slots.recordFailure?.(upstreamId, now)
