--- a/packages/entry/tests/real/lifecycle.test.ts
+++ b/packages/entry/tests/real/lifecycle.test.ts
@@ -76,6 +76,20 @@
   }
 })
 
+it('keeps work away from upstreams that refuse at once, guarding against fast failures that attract all requests', async () => {
+  const good = await startUpstream((request, response) => answer(request, response, 200, 'ok'))
+  const shedding = await startUpstream((request, response) => answer(request, response, 503, '', { 'x-load-shed': '1' }))
+  const gone = createServer()
+  const refused = await listen(gone)
+  gone.close()
+  const entry = await startConfigured([refused, shedding, good])
+  const statuses: number[] = []
+  for (let index = 0; index < 60; index += 1) {
+    statuses.push((await fetch(url(entry, '/v1/services/token/'), { method: 'POST', body: 'x' })).status)
+  }
+  expect(statuses).toEqual(Array.from({ length: 60 }, () => 200))
+})
+
 it('answers a shed upload as not run, because its body is gone, guarding against a part sent as the whole', async () => {
   const bodies: number[] = []
   const shedding = await startUpstream((request, response) => {
