Follow the pauses that begin with the third failure

Cause: the limits now pause an upstream only from its third failure in a row, while the time of the next probe still counted every failure. The test that fixed the old rule is replaced by one for the new rule, which checks the same two values and the end of the pause as well.

--- a/packages/core/src/limits/slot-limits.ts
+++ b/packages/core/src/limits/slot-limits.ts
@@ -174,7 +174,12 @@
     if (row === undefined) return 0
     const slots = slotsOf(row, now)
     if (row.failures === 0) return slots
-    return row.failures >= DEAD_FAILURES && now < row.pausedUntil ? 0 : Math.min(1, slots)
+    return now < probesFrom(row) ? 0 : Math.min(1, slots)
+  }
+
+  /** Time from which an upstream that failed may be probed. */
+  function probesFrom (row: Row): number {
+    return row.failures >= DEAD_FAILURES ? row.pausedUntil : -Infinity
   }
 
   function recordRefusal (upstreamId: string, now: number): void {
@@ -198,7 +203,7 @@
     let earliest = Infinity
     for (const id of upstreamsOf(`${service}@${zone}`, now)) {
       const row = rowOf(id, now)
-      if (row !== undefined && slotsOf(row, now) > 0) earliest = Math.min(earliest, Math.max(now, row.pausedUntil))
+      if (row !== undefined && slotsOf(row, now) > 0) earliest = Math.min(earliest, Math.max(now, probesFrom(row)))
     }
     return earliest
   }
--- a/packages/core/tests/limits/slot-limits.test.ts
+++ b/packages/core/tests/limits/slot-limits.test.ts
@@ -156,7 +156,9 @@
     expect(limits.usableAt('s', 'z1', 0)).toBe(Infinity)
     addUpstream(world, 'u1')
     expect(limits.usableAt('s', 'z1', 5)).toBe(5)
-    limits.recordFailure?.('u1', 5)
-    expect([limits.total('s', 'z1', 10), limits.usableAt('s', 'z1', 10)]).toEqual([0, 25])
+    // Pauses of 20, 40 and 80 ms; the third failure in a row is the first after which no probe goes out in the pause.
+    for (const now of [5, 25, 65]) limits.recordFailure?.('u1', now)
+    expect([limits.total('s', 'z1', 70), limits.usableAt('s', 'z1', 70)]).toEqual([0, 145])
+    expect([limits.total('s', 'z1', 145), limits.usableAt('s', 'z1', 145)]).toEqual([1, 145])
   })
 })
