Give all slots of an upload service to long work

Cause: in the policy benchmark uploads were refused after four tries at half of the upload service's load. Each instance kept the last slot of an upstream free for short work, which a service with long routes only never gets: of three slots one or two were lost. Ruled out: the shares of the zone with two instances, which only made it visible. Change: slots are kept for short work only where a route is short. Benchmark clients forget an instance that they could not reach until their next look-up.

--- a/packages/bench/src/policy/fleet.ts
+++ b/packages/bench/src/policy/fleet.ts
@@ -109,6 +109,13 @@
     return []
   }
 
+  /** A client that could not connect uses the other instances until its next look-up. */
+  function forgetInstance (request: TracedRequest, id: string): void {
+    const key = `${request.zone}/${request.kind.service}`
+    const cached = lookups.get(key)
+    if (cached !== undefined) lookups.set(key, { ...cached, ids: cached.ids.filter(other => other !== id) })
+  }
+
   function end (request: TracedRequest, result: End): void {
     waiting -= 1
     if (result.type === 'answered') measures.recordLatency(request, time.now() - request.at)
@@ -146,7 +153,10 @@
     if (node?.alive() === true) {
       time.after(profile.clientDelayMs, () => arrive(request, node))
     } else if (tried + 1 < ids.length) {
-      time.after(CLIENT_CONNECT_TIMEOUT_MS, () => attempt(request, ids, start, tried + 1))
+      time.after(CLIENT_CONNECT_TIMEOUT_MS, () => {
+        forgetInstance(request, ids[(start + tried) % ids.length]!)
+        attempt(request, ids, start, tried + 1)
+      })
     } else {
       end(request, { type: 'refused', reason: 'no-instance' })
     }
--- a/packages/bench/src/policy/profile.ts
+++ b/packages/bench/src/policy/profile.ts
@@ -1,7 +1,7 @@
 /**
  * The two users at their current sizes: zones, delays, services and the mix of requests.
  */
-import type { BlockTable, Configuration, LengthClass, RequestKind, Service } from '@arbutustray/core'
+import type { BlockTable, Configuration, LengthClass, RequestKind, Route, Service } from '@arbutustray/core'
 import { EMPTY_CONFIGURATION, createBlockTableBuilder } from '@arbutustray/core'
 
 /** One kind of request in the mix of a service. */
@@ -50,21 +50,25 @@
 const LINK_MBIT_PER_SECOND = 4_000
 const REGION_SHIFT_CAP = 0.5
 const LONG_SHARE = 0.34
+/** Slots of an upstream that takes uploads. */
+const UPLOAD_SLOTS = 3
+
+const SHORT_ROUTES: readonly Route[] = [
+  { method: 'GET', prefix: '/', kind: 'repeatable', length: 'short' },
+  { method: 'POST', prefix: '/purchases', kind: 'protected', length: 'short' }
+]
 
 function createService (id: string, slots: number, connections: number): Service {
+  const takesShort = slots > UPLOAD_SLOTS
   return {
     id,
     slots,
     connections,
-    deadlineMs: slots === 3 ? 30_000 : 2_000,
+    deadlineMs: takesShort ? 2_000 : 30_000,
     maxBodyBytes: 16 * MIB,
     refusalHeader: 'x-load-shed',
     coldStartMs: 5_000,
-    routes: [
-      { method: 'GET', prefix: '/', kind: 'repeatable', length: 'short' },
-      { method: 'POST', prefix: '/purchases', kind: 'protected', length: 'short' },
-      { method: 'PUT', prefix: '/', kind: 'plain', length: 'long' }
-    ]
+    routes: [...(takesShort ? SHORT_ROUTES : []), { method: 'PUT', prefix: '/', kind: 'plain', length: 'long' }]
   }
 }
 
--- a/packages/core/src/limits/upstream-selector.ts
+++ b/packages/core/src/limits/upstream-selector.ts
@@ -113,10 +113,19 @@
     return row
   }
 
+  /** Share of the slots for long work; `undefined` where the service has no short work to keep slots for. */
+  function longShareOf (service: string): number | undefined {
+    const routes = configuration.service(service)?.routes ?? []
+    if (routes.length > 0 && routes.every(route => route.length === 'long')) return undefined
+    return configuration.rule(service)?.longShare ?? 1
+  }
+
   /** Whether the limit admits one more attempt of this length. */
-  function admits (upstreamId: string, length: LengthClass, limit: number, count: number, longShare: number): boolean {
+  function admits (
+    upstreamId: string, length: LengthClass, limit: number, count: number, longShare: number | undefined
+  ): boolean {
     if (count >= limit) return false
-    if (length === 'short') return true
+    if (length === 'short' || longShare === undefined) return true
     if (limit > 1 && limit - count <= 1) return false
     return outstanding.countLong(upstreamId) < Math.max(1, Math.floor(limit * longShare))
   }
@@ -124,7 +133,7 @@
   function select (service: string, zone: string, length: LengthClass, exclude: ReadonlySet<string>, now: number): string | undefined {
     const ids = upstreamsOf(`${service}@${zone}`, now)
     const usual = timesOf(service)
-    const longShare = configuration.rule(service)?.longShare ?? 1
+    const longShare = longShareOf(service)
     const offset = ids.length > COMPARED ? randomBelow(ids.length) : 0
     let best: string | undefined
     let least = Infinity
--- a/packages/core/tests/limits/upstream-selector.test.ts
+++ b/packages/core/tests/limits/upstream-selector.test.ts
@@ -39,6 +39,14 @@
 }
 
 describe('createUpstreamSelector', () => {
+  it('gives all slots of an upload service to long work, guarding against slots kept for short work that never comes', () => {
+    const { world, start } = setUp(1, 3)
+    const configuration = world.configuration!
+    const routes = [{ method: 'PUT', prefix: '/', kind: 'plain', length: 'long' }] as const
+    world.configuration = { ...configuration, services: configuration.services.map(service => ({ ...service, routes })) }
+    expect([1, 2, 3, 4].map(now => start(now, 'long')?.upstreamId)).toEqual(['u0', 'u0', 'u0', undefined])
+  })
+
   it('keeps to the slots and to the share of long work, guarding against uploads that block short work', () => {
     const step = fc.record({ after: fc.nat(30), long: fc.boolean(), ends: fc.nat(3), how: fc.constantFrom('finished', 'refused', 'failed', 'cancelled') as fc.Arbitrary<'finished' | 'refused' | 'failed' | 'cancelled'> })
     fc.assert(fc.property(fc.array(step, { maxLength: 150 }), fc.integer({ min: 1, max: 9 }), fc.constantFrom(0, 0.3, 0.5, 1), (steps, slots, longShare) => {
