--- a/packages/settings/tests/examples.test.ts
+++ b/packages/settings/tests/examples.test.ts
@@ -6,6 +6,10 @@
   return readFileSync(new URL(`../../../examples/${name}`, import.meta.url), 'utf8')
 }
 
+it.each(['loopback.jsonc'])('settings example %s is accepted, guarding against a first start that fails', name => {
+  expect(readSettings(example(`settings/${name}`), name, entrySettings).isOk()).toBe(true)
+})
+
 describe.each(['association.jsonc', 'consortium.jsonc'])('example %s', name => {
   it('is accepted, guarding against examples that no longer fit the schema', () => {
     expect(readSettings(example(`settings/${name}`), name, entrySettings).isOk()).toBe(true)
