Mark streamed bodies as single use

Cause: the daemon never set singleUseBody, so a repeatable request above 64 KiB was retried after its first attempt broke; its body was gone, and the caller was told not-run although the first attempt may have run (guarantee 4). Ruled out: answering unknown where the consumed body is found; a hedge that finds it must not answer at all while the first attempt runs. Change: intake.ts sets singleUseBody for streamed bodies. Result: the new test in lifecycle.test.ts fails without the change (not-run) and passes with it.

--- a/packages/entry/src/intake.ts
+++ b/packages/entry/src/intake.ts
@@ -130,6 +130,7 @@
     key: single(request.headers[HEADER.key]),
     timeoutMs,
     contentLength: BODY_LENGTHS[body.type](body),
+    singleUseBody: body.type === 'streamed',
     forwarded
   }
 }
--- a/packages/entry/tests/real/lifecycle.test.ts
+++ b/packages/entry/tests/real/lifecycle.test.ts
@@ -87,3 +87,13 @@
   expect([response.status, response.headers.get('arbutustray-outcome')]).toEqual([503, 'not-run'])
   expect(bodies.length).toBeLessThanOrEqual(1)
 })
+
+it('tells the caller of a broken repeatable upload that it may have run, guarding against a false not-run', async () => {
+  const upstreams = await Promise.all([1, 2].map(async () =>
+    await startUpstream(request => request.on('data', () => {}).on('end', () => request.socket.destroy()))))
+  const entry = await startConfigured(upstreams)
+  const services = [{ ...SERVICE, routes: [{ method: '*', prefix: '/', kind: 'repeatable', length: 'long' } as const] }]
+  entry.emit({ type: 'configuration-received', configuration: { ...CONFIGURATION, version: 8, services }, source: 'platform' })
+  const response = await fetch(url(entry, '/v1/services/token/ledger'), { method: 'PUT', body: 'x'.repeat(100_000) })
+  expect(response.headers.get('arbutustray-outcome')).toBe('unknown')
+})
