--- /dev/null
+++ b/examples/embedding/configuration.ts
@@ -0,0 +1,28 @@
+/**
+ * What the example steers. A program would read it from a platform, see `packages/platform`.
+ */
+import type { Configuration, ListedInstance } from '@arbutustray/core'
+import { EMPTY_CONFIGURATION } from '@arbutustray/core'
+
+/** One zone that hosts one service. */
+export const CONFIGURATION: Configuration = {
+  ...EMPTY_CONFIGURATION,
+  version: 1,
+  regions: [{ id: 'zagreb' }],
+  zones: [{ id: 'zagreb-1', region: 'zagreb', instances: 1 }],
+  services: [{
+    id: 'token',
+    slots: 2,
+    connections: 10,
+    deadlineMs: 1_000,
+    maxBodyBytes: 1_024,
+    refusalHeader: 'x-load-shed',
+    coldStartMs: 0,
+    routes: [{ method: 'GET', prefix: '/', kind: 'repeatable', length: 'short' }]
+  }],
+  places: [{ service: 'token', zone: 'zagreb-1' }]
+}
+
+/** The upstreams, as the platform lists them. */
+export const LIST = ['u1', 'u2'].map((id): ListedInstance =>
+  ({ id, role: 'upstream', service: 'token', zone: 'zagreb-1', address: `${id}:80`, state: 'live' }))
--- /dev/null
+++ b/packages/core/tests/embedding.test.ts
@@ -0,0 +1,30 @@
+import { expect, it, onTestFinished, vi } from 'vitest'
+import { createSteering } from '../../../examples/embedding/steer.js'
+import type { Run } from '../../../examples/embedding/steer.js'
+
+function steer (run: Run): (path: string) => Promise<string> {
+  const { get, close } = createSteering(run)
+  onTestFinished(close)
+  return get
+}
+
+it('serves through a function, guarding against an example that no longer fits the public types and events', async () => {
+  expect(await steer(async () => 'balance 7')('/balance')).toBe('served home-zone balance 7')
+})
+
+it('tries the other upstream after a failure, guarding against an example that reports attempts wrongly', async () => {
+  const tried: string[] = []
+  const get = steer(async id => {
+    tried.push(id)
+    if (tried.length === 1) throw new Error('connection lost')
+    return id
+  })
+  expect(await get('/balance')).toBe(`served home-zone ${tried[1]}`)
+  expect(new Set(tried).size).toBe(2)
+})
+
+it('answers at the deadline, guarding against an example without ticks', async () => {
+  const answer = steer(async () => await new Promise(() => {}))('/balance')
+  await vi.advanceTimersByTimeAsync(1_100)
+  expect(await answer).toBe('unknown deadline-passed')
+})
