--- a/packages/core/src/limits/slot-limits.ts
+++ b/packages/core/src/limits/slot-limits.ts
@@ -22,8 +22,8 @@
   /** The upstream finished an attempt. Ends the effect of earlier failures. */
   readonly recordCompletion: (upstreamId: string, now: number) => void
   /**
-   * An attempt at the upstream failed or could not be connected. Until the next completion the limit is 0 for a pause
-   * that doubles with each further failure, and then 1 for a probe. The upstream selector calls it.
+   * An attempt at the upstream failed or could not be connected. Until the next completion the limit is 1 for probes,
+   * and from the third failure on 0 for a pause that doubles each time. The upstream selector calls it.
    */
   readonly recordFailure?: (upstreamId: string, now: number) => void
   /** Free slots of a service in a zone, within the limits. */
@@ -38,6 +38,8 @@
 const GROWTH_MS = 500
 /** Time after a refusal in which a limit does not grow. */
 const GROWTH_STOP_MS = 2_000
+/** Failures in a row from which an upstream counts as dead. Fewer occur when it restarts its listener. */
+const DEAD_FAILURES = 3
 /** First and longest pause after a failure. */
 const PAUSE_MS = 20
 const PAUSE_MOST_MS = 1_000
@@ -172,7 +174,12 @@
     if (row === undefined) return 0
     const slots = slotsOf(row, now)
     if (row.failures === 0) return slots
-    return now < row.pausedUntil ? 0 : Math.min(1, slots)
+    return now < probesFrom(row) ? 0 : Math.min(1, slots)
+  }
+
+  /** Time from which an upstream that failed may be probed. */
+  function probesFrom (row: Row): number {
+    return row.failures >= DEAD_FAILURES ? row.pausedUntil : -Infinity
   }
 
   function recordRefusal (upstreamId: string, now: number): void {
@@ -196,7 +203,7 @@
     let earliest = Infinity
     for (const id of upstreamsOf(`${service}@${zone}`, now)) {
       const row = rowOf(id, now)
-      if (row !== undefined && slotsOf(row, now) > 0) earliest = Math.min(earliest, Math.max(now, row.pausedUntil))
+      if (row !== undefined && slotsOf(row, now) > 0) earliest = Math.min(earliest, Math.max(now, probesFrom(row)))
     }
     return earliest
   }
