Test failures on real processes and fix the two faults they show

Cause: nothing showed how daemons behave when processes are killed or paused, when the platform is down or when zones are cut off. The new tests in packages/standins/tests/processes start small fleets of processes; the demo's code for that moves to demo/processes.ts.

Two faults were found and fixed: - After an outage of the platform, confirmations were refused with 503 for more than 9 s: the watch stays pending for up to 25 s, and only its end counted as a success. After a failure the object is read first. A confirmation that is refused also ends the back-off, which reaches 10 s. Ending the back-off alone was tried first and did not help. - A repeatable request was answered 502 `unknown` although another upstream was alive: as the probe of the dead one it used up its four dispatches on refused connections. These no longer count as dispatches; the retry budget, the pauses and the deadline still bound them.

--- a/packages/core/src/routing/attempt-table.ts
+++ b/packages/core/src/routing/attempt-table.ts
@@ -79,6 +79,8 @@
       progress.ended.push({ target: attempt.target.id, zone: attempt.zone, end: ended })
       const refused = ended === 'refused' || ended === 'unreachable'
       if (!refused && (attempt.state !== 'created' || ended === 'failed')) progress.possiblyRun = true
+      // It cost the upstream nothing. A request that probes a dead upstream must not lose its place for that.
+      if (ended === 'unreachable' && attempt.target.type === 'upstream') progress.dispatches -= 1
       if (refused || ended === 'failed') exclude(progress, attempt.target.id)
       reportEnd(attempt, ended, now)
     }
--- a/packages/core/tests/routing/routing-system.test.ts
+++ b/packages/core/tests/routing/routing-system.test.ts
@@ -1,3 +1,4 @@
+import { MAX_DISPATCHES } from '../../src/routing/attempt-events.js'
 import { describe, expect, it } from 'vitest'
 import { setUp, types } from './set-up.js'
 
@@ -89,4 +90,14 @@
     const { arrive } = setUp(1)
     expect(types(arrive('q1', '/protected', { key: 'p2/k', forwarded }))).toEqual(['dispatch'])
   })
+
+  it('does not count failed connections as dispatches, guarding against requests that end because they probed a dead upstream', () => {
+    const { world, handle, arrive } = setUp(1)
+    world.instances.clear()
+    arrive('q1', '/repeatable')
+    for (let attempt = 1; attempt <= 2 * MAX_DISPATCHES; attempt += 1) {
+      expect(types(handle({ type: 'attempt-refused', attemptId: `a${attempt}`, proof: 'not-written' }, attempt))).toEqual(['dispatch'])
+    }
+    expect(types(handle({ type: 'attempt-answered', attemptId: `a${2 * MAX_DISPATCHES + 1}`, status: 200 }, 50))).toEqual(['relay'])
+  })
 })
--- /dev/null
+++ b/packages/core/tests/routing/shift-cap.test.ts
@@ -0,0 +1,89 @@
+/**
+ * Guarantee 1 over whole engines: three instances of one zone with uneven shares of its traffic, upstreams that are
+ * too few, restarts, and configurations that arrive late, so that instances hold different versions.
+ */
+import type { Configuration } from '../../src/configuration.js'
+import type { Engine } from '../../src/create-engine.js'
+import type { Event } from '../../src/event.js'
+import fc from 'fast-check'
+import { expect, it, vi } from 'vitest'
+import { createEngine } from '../../src/create-engine.js'
+import { CONFIGURATION, SERVICE, heartbeatOf, listEntry, listedUpstream, self } from '../fixtures.js'
+
+const CAP = 0.25
+const INSTANCES = 3
+const ROUTES = [{ method: '*', prefix: '/', kind: 'repeatable', length: 'short' }] as const
+
+/** Versions differ in rows that don't matter for the cap. */
+function configurationOf (version: number): Configuration {
+  return {
+    ...CONFIGURATION,
+    version,
+    services: [{ ...SERVICE, slots: 3, coldStartMs: 0, deadlineMs: 100 + 50 * (version % 3), routes: ROUTES }],
+    rules: [{ service: 'tokens', scope: 'region', shiftCap: CAP, longShare: 1 / version }]
+  }
+}
+
+const REMOTE = self('far', 'z3')
+const remoteHeartbeat: Event = {
+  type: 'heartbeat-received',
+  heartbeat: heartbeatOf(REMOTE, { configurationVersion: 1, headroom: [{ service: 'tokens', free: 1_000, slots: 1_000, queued: 0 }] })
+}
+
+function start (index: number, version: number): Engine {
+  const engine = createEngine({ self: { ...self(`i${index}`, 'z1'), incarnation: `${index}-${performance.now()}` }, seed: index })
+  engine.handle({ type: 'configuration-received', configuration: configurationOf(version), source: 'platform' })
+  engine.handle({ type: 'list-received', entries: [listEntry('far', 'z3'), listedUpstream('u1', 'z1')] })
+  engine.handle(remoteHeartbeat)
+  return engine
+}
+
+const step = fc.oneof(
+  { weight: 20, arbitrary: fc.record({ type: fc.constant('request' as const), instance: fc.constantFrom(0, 0, 0, 0, 0, 1, 1, 2), after: fc.nat(20) }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('refuse' as const), instance: fc.nat(INSTANCES - 1), after: fc.nat(20) }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('configure' as const), instance: fc.nat(INSTANCES - 1), after: fc.nat(500) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const), instance: fc.nat(INSTANCES - 1), after: fc.nat(3_000) }) }
+)
+
+it('keeps the zone\'s traffic outside its scope under the cap, guarding against instances whose shifts add up above it', () => {
+  let mostMoved = 0
+  fc.assert(fc.property(fc.array(step, { minLength: 60, maxLength: 300 }), steps => {
+    const engines = Array.from({ length: INSTANCES }, (_, index) => start(index, 1))
+    const versions = engines.map(() => 1)
+    const forwards = engines.map((): string[] => [])
+    let requests = 0
+    const moved = new Set<string>()
+    const run = (index: number, event: Event): void => {
+      for (const command of engines[index]!.handle(event)) {
+        if (command.type !== 'forward') continue
+        moved.add(command.requestId)
+        forwards[index]!.push(command.attemptId)
+      }
+    }
+    for (const { type, instance, after } of steps) {
+      vi.advanceTimersByTime(after)
+      for (const index of engines.keys()) {
+        run(index, remoteHeartbeat)
+        run(index, { type: 'tick' })
+      }
+      if (type === 'request') {
+        requests += 1
+        run(instance, { type: 'request-arrived', requestId: `r${requests}`, service: 'tokens', method: 'GET', path: '/' })
+      } else if (type === 'refuse') {
+        // A refused forward is placed again; it must not count as a second move, nor be forgotten as the first.
+        const attemptId = forwards[instance]!.shift()
+        if (attemptId !== undefined) run(instance, { type: 'attempt-refused', attemptId, proof: 'shed' })
+      } else if (type === 'configure') {
+        versions[instance]! += 1
+        run(instance, { type: 'configuration-received', configuration: configurationOf(versions[instance]!), source: 'peer' })
+      } else {
+        engines[instance] = start(instance, versions[instance]!)
+        forwards[instance] = []
+      }
+      expect(moved.size).toBeLessThanOrEqual(CAP * requests + 1e-9)
+    }
+    mostMoved = Math.max(mostMoved, moved.size / requests)
+  }))
+  // The property would also hold if nothing ever moved.
+  expect(mostMoved).toBeGreaterThan(CAP / 2)
+})
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -66,7 +66,13 @@
   }
   const incarnation = randomUUID()
   const engine = createEngine({
-    self: { id: instanceId, zone, address: addresses.caller, peerAddress: addresses.peer, incarnation },
+    self: {
+      id: instanceId,
+      zone,
+      address: addresses.caller,
+      peerAddress: settings.advertisedPeerAddress ?? addresses.peer,
+      incarnation
+    },
     seed: randomInt(2 ** 31)
   })
   const events = new EventSource()
@@ -123,8 +129,13 @@
     bodyTimeoutMs: limits.headersTimeoutMs,
     maxRequests: limits.maxQueuedRequests
   })
+  // The back-off reaches 10 s. An operator who repeats a confirmation after an outage must not be refused that long.
+  const platformReachable = (): boolean => {
+    if (!sync.reachable()) sync.repeatNow()
+    return sync.reachable()
+  }
   const confirm = createConfirm({
-    engine, emit, writer: createConfigurationWriter({ store: platform }), platformReachable: sync.reachable, telemetry
+    engine, emit, writer: createConfigurationWriter({ store: platform }), platformReachable, telemetry
   })
   ports.caller.serve(createCallerHandler({ instanceId, engine, intake, telemetry }))
   ports.operator.serve(createOperatorHandler({
--- a/packages/entry/src/platform-calls.ts
+++ b/packages/entry/src/platform-calls.ts
@@ -22,6 +22,8 @@
   readonly pause: (ms: number) => Promise<void>
   /** The last call of this name failed. */
   readonly isFailing: (call: string) => boolean
+  /** Ends all pauses, so that failed calls are repeated now. */
+  readonly repeatNow: () => void
   readonly stop: () => void
 }
 
@@ -30,8 +32,18 @@
   const abort = new AbortController()
   const failing = new Set<string>()
 
+  const pauses = new Set<AbortController>()
+
   async function pause (ms: number): Promise<void> {
-    if (ms > 0) await sleep(ms, undefined, { signal: abort.signal, ref: false }).catch(() => {})
+    if (ms <= 0 || abort.signal.aborted) return
+    const ending = new AbortController()
+    pauses.add(ending)
+    await sleep(ms, undefined, { signal: ending.signal, ref: false }).catch(() => {})
+    pauses.delete(ending)
+  }
+
+  function repeatNow (): void {
+    for (const ending of pauses) ending.abort()
   }
 
   async function loop (call: string, pauseMs: () => number, run: RepeatedCall): Promise<void> {
@@ -66,6 +78,10 @@
     },
     pause,
     isFailing: call => failing.has(call),
-    stop: () => abort.abort()
+    repeatNow,
+    stop: () => {
+      abort.abort()
+      repeatNow()
+    }
   }
 }
--- a/packages/entry/src/platform-sync.ts
+++ b/packages/entry/src/platform-sync.ts
@@ -26,6 +26,8 @@
 export interface PlatformSync {
   /** The last call of each kind succeeded, so the newest version is known. */
   readonly reachable: () => boolean
+  /** Repeats failed calls without waiting for their back-off. */
+  readonly repeatNow: () => void
   readonly stop: () => void
 }
 
@@ -65,8 +67,9 @@
       answered = true
       return ok(undefined)
     }
+    // After a failure the object is read again: a watch would show only at its end that the platform has recovered.
+    answered = result.isOk()
     if (result.isErr()) return result
-    answered = true
     if (result.value === undefined) return result
     objectVersion = result.value.version
     parseConfiguration(result.value.value).match(
@@ -109,6 +112,7 @@
   calls.repeat('list', () => duty().listPeriodMs, list)
   return {
     reachable: () => answered && !calls.isFailing('watch') && !calls.isFailing('list'),
+    repeatNow: calls.repeatNow,
     stop: calls.stop
   }
 }
--- a/packages/settings/src/entry-settings.ts
+++ b/packages/settings/src/entry-settings.ts
@@ -37,6 +37,8 @@
   callerAddress: hostAndPort,
   operatorAddress: hostAndPort,
   peerAddress: hostAndPort,
+  /** Address of the peer port as other instances reach it, where it differs from the one listened on. */
+  advertisedPeerAddress: hostAndPort.optional(),
   platformUrl: z.url({ protocol: /^https?$/, error: 'expected an http or https URL' }),
   /** Shared by all entry instances. */
   peerToken: z.string().min(1),
--- a/packages/standins/src/demo/caller.ts
+++ b/packages/standins/src/demo/caller.ts
@@ -21,6 +21,10 @@
   readonly key?: string
   /** Service time of the stand-in, instead of a random one. */
   readonly serviceMs?: number
+  /** Fault of the stand-in. */
+  readonly fault?: string
+  /** Time that the caller gives the request. */
+  readonly timeoutMs?: number
 }
 
 /** What became of a request. */
@@ -46,12 +50,15 @@
   await agent.close()
 }
 
-async function answerOf (url: string, order: Order, requestId: string): Promise<{ readonly end: End, readonly detail: string }> {
+/** Sends a request to a URL and judges the answer. Rejects if the exchange breaks. */
+export async function answerOf (url: string, order: Order, requestId: string): Promise<{ readonly end: End, readonly detail: string }> {
   const response = await request(url, {
     method: order.method,
     headers: {
       'x-request-id': requestId,
       ...(order.key === undefined ? {} : { 'idempotency-key': order.key }),
+      ...(order.fault === undefined ? {} : { 'x-fault': order.fault }),
+      ...(order.timeoutMs === undefined ? {} : { 'arbutustray-timeout-ms': `${order.timeoutMs}` }),
       ...(order.serviceMs === undefined ? {} : { 'x-service-ms': `${order.serviceMs}` })
     },
     body: order.body ?? null,
--- a/packages/standins/src/demo/main.ts
+++ b/packages/standins/src/demo/main.ts
@@ -10,15 +10,10 @@
 import type { Child } from './children.js'
 import type { EntryInstance } from './topology.js'
 import type { ConfirmedDrain } from './verify.js'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { fileURLToPath } from 'node:url'
-import { request } from 'undici'
 import { closeCallers, createCaller } from './caller.js'
-import { createChildren } from './children.js'
 import { change, createCall, waitUntil } from './operator.js'
+import { OPERATOR_TOKEN, createProcesses, send } from './processes.js'
 import { formatFailures, formatReport, formatSummary } from './report.js'
 import { creatingOperations, entryInstances, listEntry, readConfiguration, upstreamSpecs } from './topology.js'
 import { longUpload, sendTraffic } from './traffic.js'
@@ -35,49 +30,16 @@
 const CONFIGURATION_LIMIT_MS = 9_000
 /** A planned stop takes 10 s. */
 const STOP_LIMIT_MS = 20_000
-const TOKEN = 'demo-operator-token'
 
 const startedAt = performance.now()
-const children = createChildren()
-const settingsDirectory = mkdtempSync(join(tmpdir(), 'arbutustray-demo-'))
-process.once('exit', () => rmSync(settingsDirectory, { recursive: true, force: true }))
+const processes = createProcesses()
+const { children, startStandin, startEntry } = processes
 
 function say (text: string): void {
   console.log(`${((performance.now() - startedAt) / 1_000).toFixed(1).padStart(5)} s  ${text}`)
 }
 
-function script (path: string): string {
-  return fileURLToPath(new URL(path, import.meta.url))
-}
-
-async function startStandin (name: string, path: string, args: readonly string[] = []): Promise<{ readonly child: Child, readonly ready: any }> {
-  const child = children.start(name, script(path), args)
-  return { child, ready: JSON.parse(await child.nextLine()) }
-}
-
-function startEntry (instance: EntryInstance, platformUrl: string): Child {
-  const fileName = join(settingsDirectory, `${instance.id}.json`)
-  writeFileSync(fileName, JSON.stringify({
-    instanceId: instance.id,
-    zone: instance.zone,
-    callerAddress: instance.caller,
-    operatorAddress: instance.operator,
-    peerAddress: instance.peer,
-    platformUrl,
-    peerToken: 'demo-peer-token',
-    operatorToken: TOKEN,
-    logLevel: 'warn'
-  }))
-  return children.start(instance.id, script('../../../entry/dist/main.js'), [fileName])
-}
-
-async function send (url: string, method: 'GET' | 'PUT' | 'POST', body?: unknown): Promise<any> {
-  const response = await request(url, { method, body: body === undefined ? null : JSON.stringify(body) })
-  if (response.statusCode !== 200) throw new Error(`${method} ${url}: ${response.statusCode}`)
-  return await response.body.json()
-}
-
-const call = createCall(TOKEN)
+const call = createCall(OPERATOR_TOKEN)
 
 async function waitForVersion (instances: readonly EntryInstance[], version: number): Promise<number> {
   return await waitUntil(`version ${version} everywhere`, CONFIGURATION_LIMIT_MS, async () => {
@@ -115,9 +77,9 @@
   const zones = (file.zones ?? []).map(zone => zone.id)
   const services = (file.services ?? []).map(service => service.id)
   const [platform, ...hosts] = await Promise.all([
-    startStandin('platform', '../platform/main.js'),
+    startStandin('platform', 'platform/main.js'),
     ...services.map(async service =>
-      await startStandin(`${service} upstreams`, '../upstream/main.js', [JSON.stringify(upstreamSpecs(service, zones))]))
+      await startStandin(`${service} upstreams`, 'upstream/main.js', [JSON.stringify(upstreamSpecs(service, zones))]))
   ])
   const upstreams: readonly ListedInstance[] = hosts.flatMap(({ ready }) => ready.upstreams)
   const instances = await entryInstances(file)
@@ -170,4 +132,4 @@
   for (const child of children.all()) for (const line of child.lines.slice(-5)) console.error(`${child.name}: ${line.slice(0, 300)}`)
   process.exitCode = 1
 }
-children.killAll()
+processes.close()
--- a/packages/standins/src/demo/topology.ts
+++ b/packages/standins/src/demo/topology.ts
@@ -50,7 +50,7 @@
 }
 
 /** Ports that are free now. They are open at the same time, so that all differ. */
-async function freePorts (count: number): Promise<readonly number[]> {
+export async function freePorts (count: number): Promise<readonly number[]> {
   const servers = await Promise.all(Array.from({ length: count }, async () => {
     const server = createServer().listen(0, '127.0.0.1')
     await once(server, 'listening')
--- a/packages/standins/src/upstream/start-upstream.ts
+++ b/packages/standins/src/upstream/start-upstream.ts
@@ -4,7 +4,8 @@
  * the body that was read. `GET /load` and `GET /runs` are reserved.
  *
  * Tests select a behaviour by request header: `x-service-ms` sets the service time; `x-fault` is `swap` (answer with
- * another request's id), `truncate` (end within the answer) or `reset` (run, then close without an answer).
+ * another request's id), `truncate` (end within the answer), `stall` (stop
+ * within the answer) or `reset` (run, then close without an answer).
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Run } from './run-log.js'
@@ -39,6 +40,7 @@
   truncate: (response, headers, body) => {
     response.writeHead(200, headers).write(body.slice(0, 10), () => response.destroy())
   },
+  stall: (response, headers, body) => { response.writeHead(200, headers).write(body.slice(0, 10)) },
   reset: response => response.destroy()
 }
 
--- /dev/null
+++ b/packages/standins/tests/processes/instance-failures.test.ts
@@ -0,0 +1,93 @@
+import type { Sample } from '../../src/demo/caller.js'
+import type { Fleet } from './fleet.js'
+import { once } from 'node:events'
+import { Readable } from 'node:stream'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+import { expect, it } from 'vitest'
+import { waitUntil } from '../../src/demo/operator.js'
+import { findBreaches } from '../../src/demo/verify.js'
+import { check, purchase, startFleet } from './fleet.js'
+
+const [A, B, C] = ['entry-zagreb-1a', 'entry-zagreb-1b', 'entry-split-1a']
+/** Silence of 3 s, and one heartbeat. */
+const SILENT_LIMIT_MS = 4_000
+
+/** Sends checks and purchases to one instance; what is lost there is sent again to another one with the same key. */
+async function sendMixed (fleet: Fleet, id: string, other: string, keyHome: string, durationMs: number): Promise<readonly Sample[]> {
+  const count = durationMs / 25
+  const keys = await fleet.keys(keyHome, count)
+  const samples: Sample[] = []
+  await Promise.all(keys.map(async (key, index) => {
+    await sleep(25 * index)
+    const name = `${id}/${keyHome}/${index}`
+    const order = index % 2 === 0 ? purchase(name, key, { serviceMs: 60 }) : check(name, { serviceMs: 60 })
+    const sample = await fleet.send(id, order)
+    samples.push(sample)
+    if (sample.end === 'lost') samples.push(await fleet.send(other, order))
+  }))
+  return samples
+}
+
+it('loses an instance by SIGKILL, guarding against second runs, against `not-run` for work that ran, and against look-ups that return the dead', async () => {
+  const fleet = await startFleet({ zones: { 'zagreb-1': 2, 'split-1': 1 } })
+  const load = [[A, B, A], [A, B, B], [B, C, B], [C, B, A]].map(async ([id, other, home]) => await sendMixed(fleet, id!, other!, home!, 6_000))
+  await sleep(1_500)
+  fleet.child(A).process.kill('SIGKILL')
+  await waitUntil('look-ups without the dead', SILENT_LIMIT_MS, async () =>
+    (await Promise.all([B, C].map(fleet.lookup))).every(ids => ids.length > 0 && !ids.includes(A)))
+  const samples = (await Promise.all(load)).flat()
+  expect(findBreaches(samples, await fleet.runs())).toEqual([])
+  const checks = samples.filter(({ order }) => order.kind === 'check')
+  const served = new Set(checks.filter(({ end }) => end === 'whole').map(({ order }) => order.path))
+  expect(checks.filter(({ end }) => end === 'lost').length).toBeGreaterThan(0)
+  expect(checks.filter(({ order }) => !served.has(order.path)).map(({ detail }) => detail)).toEqual([])
+  const [key] = await fleet.keys(B, 1)
+  expect((await fleet.send(B, purchase('after', key!))).end).toBe('whole')
+})
+
+it('pauses an instance for longer than 3 s, guarding against expired work that it runs on resuming, and against second runs elsewhere', async () => {
+  const fleet = await startFleet({ zones: { 'zagreb-1': 2 }, slots: 2 })
+  const keys = await fleet.keys(A, 6)
+  const orders = keys.map((key, index) => purchase(`${index}`, key, { serviceMs: 500, timeoutMs: 3_000 }))
+  const first = orders.map(async order => await fleet.send(A, order))
+  await sleep(250)
+  const process = fleet.child(A).process
+  const before = await fleet.runs()
+  expect(before.length).toBeGreaterThan(0)
+  expect(before.length).toBeLessThan(orders.length)
+  process.kill('SIGSTOP')
+  const retries = orders.map(async order => await fleet.send(B, { ...order, timeoutMs: 1_000 }))
+  await sleep(4_000)
+  const resumedAt = Date.now()
+  process.kill('SIGCONT')
+  const samples = await Promise.all([...first, ...retries])
+  const again = await Promise.all(orders.map(async order => await fleet.send(B, order)))
+  const runs = await fleet.runs()
+  expect(runs.filter(run => run.started >= resumedAt).map(run => run.path)).toEqual([])
+  expect(findBreaches([...samples, ...again], runs)).toEqual([])
+  await waitUntil('the resumed instance is returned again', SILENT_LIMIT_MS, async () => (await fleet.lookup(B)).includes(A))
+  const [key] = await fleet.keys(A, 1)
+  expect((await fleet.send(B, purchase('after', key!))).end).toBe('whole')
+})
+
+it('finishes a slow upload during a planned stop, guarding against a stop that ends with its grace period', async () => {
+  const fleet = await startFleet({ zones: { 'zagreb-1': 1 } })
+  const part = 'x'.repeat(10_000)
+  const parts = 26
+  const slow = async function * () {
+    for (let sent = 0; sent < parts; sent += 1) {
+      yield part
+      await sleep(500)
+    }
+  }
+  const upload = request(`http://${fleet.instance(A).caller}/v1/services/ledger/slow`, {
+    method: 'PUT', body: Readable.from(slow()), headers: { 'content-length': `${parts * part.length}` }
+  })
+  await sleep(1_000)
+  const exit = once(fleet.child(A).process, 'exit')
+  fleet.child(A).process.kill('SIGTERM')
+  const response = await upload
+  expect([response.statusCode, await response.body.json()]).toMatchObject([200, { bytes: parts * part.length }])
+  expect(await exit).toEqual([0, null])
+})
