Give an instance that starts in an outage the list of a peer, and stop issuing keys at a planned stop

Cause: an instance that was restarted while the platform was down got the configuration from its peers but no upstreams, and its sibling zone did not take its upstreams over, because it was live. It served nothing until the platform came back. Ruled out: letting it be silent, which would leave a zone with one instance without any. Change: without a list it asks a peer that it hears for what the peer knows, in the form of the platform's list. An instance that is stopping issues no keys, because they end with it. Tests: known-list.test.ts, which fails without the pull.

--- a/packages/core/src/command.ts
+++ b/packages/core/src/command.ts
@@ -78,8 +78,16 @@
   readonly sinceVersion: number
 }
 
+/** Asks a peer for the instances and upstreams that it knows. */
+export interface PullList {
+  readonly type: 'pull-list'
+  readonly instanceId: string
+  readonly address: string
+}
+
 /** The planned stop is complete; ports may close. */
 export interface Stopped { readonly type: 'stopped' }
 
 export type Command =
-  | Dispatch | Forward | CancelAttempt | Relay | Replay | Respond | Reset | SendHeartbeat | PullConfiguration | Stopped
+  | Dispatch | Forward | CancelAttempt | Relay | Replay | Respond | Reset | SendHeartbeat | PullConfiguration |
+  PullList | Stopped
--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -109,7 +109,10 @@
   return {
     handle: event => runSystems(systems, event, monotonicNow()),
     lookup: query => lookup(world, query),
-    issueKeys: count => parts.keys.issue(count, monotonicNow()),
+    // A key lasts no longer than its issuer, so an instance that stops issues none.
+    issueKeys: count => world.stoppingSince === undefined
+      ? parts.keys.issue(count, monotonicNow())
+      : err({ reason: 'instance-stopping' }),
     plan: operations => world.configuration === undefined
       ? err({ reason: 'no-configuration' })
       : makePlan(world.configuration, operations),
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,4 +1,5 @@
 export * from './instance-table.js'
+export * from './known-list.js'
 export * from './leaving-marks.js'
 export * from './membership-system.js'
 export * from './peer-choice.js'
--- a/packages/core/src/membership/membership-system.ts
+++ b/packages/core/src/membership/membership-system.ts
@@ -28,6 +28,9 @@
  */
 const SIGHTING_AGE_MS = 1_500
 
+/** A list is asked for again after this time, because the answer may be lost or the peer may have none. */
+export const LIST_RETRY_MS = 1_000
+
 export interface MembershipOptions {
   /** Headroom of this instance's zone, for the heartbeat. */
   readonly headroom?: () => readonly Headroom[]
@@ -51,6 +54,8 @@
   let heartbeatAt = -Infinity
   let expireAt = -Infinity
   let newsAt = Infinity
+  let hasList = false
+  let listAskedAt = -Infinity
 
   function announce (zone: string | undefined, now: number): void {
     if (zone === self.zone) newsAt = Math.min(newsAt, now + NEWS_DELAY_MS)
@@ -121,12 +126,20 @@
     instances.hear(received, now)
     for (const sighting of received.sightings) instances.sight(sighting, now)
     for (const id of received.leavingUpstreams) mark(id, received.zone, now)
-    return []
+    return hasList ? [] : pullList(received, now)
+  }
+
+  /** An instance that started while the platform is down gets its first list from a peer. */
+  function pullList ({ instanceId, peerAddress: address }: Heartbeat, now: number): readonly Command[] {
+    if (now - listAskedAt < LIST_RETRY_MS) return []
+    listAskedAt = now
+    return [{ type: 'pull-list', instanceId, address }]
   }
 
   function receiveList ({ entries }: ListReceived, now: number): readonly Command[] {
     // An empty list is a fault of the platform: at least this instance is live.
     if (entries.length === 0) return []
+    hasList = true
     // The first peers are greeted with the next tick.
     if (world.instances.size === 0) heartbeatAt = -Infinity
     instances.receiveList(entries, now)
--- /dev/null
+++ b/packages/core/tests/membership/known-list.test.ts
@@ -0,0 +1,42 @@
+import type { Command } from '../../src/command.js'
+import type { ListedInstance } from '../../src/event.js'
+import type { System } from '../../src/engine.js'
+import { describe, expect, it } from 'vitest'
+import { createWorld, runSystems } from '../../src/engine.js'
+import { knownList } from '../../src/membership/known-list.js'
+import { createMembershipSystem } from '../../src/membership/membership-system.js'
+import { heartbeatOf, listedUpstream, self } from '../fixtures.js'
+
+const ENTRIES: readonly ListedInstance[] = [
+  { id: 'i2', role: 'entry', zone: 'z2', address: 'i2:1', peerAddress: 'i2:2', state: 'live' },
+  listedUpstream('u1', 'z1', 'live'),
+  listedUpstream('u2', 'z2', 'leaving')
+]
+
+function hear (system: System, id: string, now: number): readonly Command[] {
+  return runSystems([system], { type: 'heartbeat-received', heartbeat: heartbeatOf(self(id, 'z2')) }, now)
+}
+
+describe('knownList', () => {
+  it('gives a peer that started in an outage its upstreams, guarding against an instance that can serve nothing', () => {
+    const informed = createWorld(self('i2', 'z2'))
+    runSystems([createMembershipSystem(informed)], { type: 'list-received', entries: ENTRIES }, 0)
+    const started = createWorld(self('i1', 'z1'))
+    const membership = createMembershipSystem(started)
+    expect(hear(membership, 'i2', 0)).toEqual([{ type: 'pull-list', instanceId: 'i2', address: 'i2:2' }])
+    runSystems([membership], { type: 'list-received', entries: knownList(informed) }, 10)
+    const states = [...started.upstreams.values()].map(row => [row.id, row.zone, row.state])
+    expect(states).toEqual([['u1', 'z1', 'live'], ['u2', 'z2', 'leaving']])
+    expect(started.instances.get('i2')?.state).toBe('live')
+    expect(hear(membership, 'i2', 5_000)).toEqual([])
+  })
+
+  it('asks again after a lost answer, and not with each heartbeat', () => {
+    const membership = createMembershipSystem(createWorld(self('i1', 'z1')))
+    expect([0, 500, 1_000].map(now => hear(membership, 'i2', now).length)).toEqual([1, 0, 1])
+  })
+
+  it('is empty without upstreams, guarding against two instances without a list that inform each other', () => {
+    expect(knownList(createWorld(self('i1', 'z1')))).toEqual([])
+  })
+})
--- a/packages/entry/src/commands.ts
+++ b/packages/entry/src/commands.ts
@@ -1,7 +1,7 @@
 /**
  * Carries out the engine's commands, by a table of handlers.
  */
-import type { Command, PullConfiguration, SendHeartbeat } from '@arbutustray/core'
+import type { Command, PullConfiguration, PullList, SendHeartbeat } from '@arbutustray/core'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { Exchange } from './exchange.js'
 import type { UpstreamClient } from './upstream-client.js'
@@ -12,6 +12,7 @@
   readonly upstreamClient: UpstreamClient
   readonly sendHeartbeat: (command: SendHeartbeat) => void
   readonly pullConfiguration: (command: PullConfiguration) => void
+  readonly pullList: (command: PullList) => void
   /** The planned stop is complete. */
   readonly onStopped: () => void
   readonly telemetry: Telemetry
@@ -36,6 +37,7 @@
     },
     'send-heartbeat': targets.sendHeartbeat,
     'pull-configuration': targets.pullConfiguration,
+    'pull-list': targets.pullList,
     stopped: targets.onStopped
   }
   return command => {
--- a/packages/entry/src/configuration-message.ts
+++ b/packages/entry/src/configuration-message.ts
@@ -7,6 +7,7 @@
 import { err } from 'neverthrow'
 import type { Result } from 'neverthrow'
 import { z } from 'zod'
+import { decodeJson, encodeJson } from './json-bytes.js'
 
 const Changes = z.array(z.looseObject({ version: z.int().positive(), changeId: z.string(), operations: z.array(z.looseObject({})) }))
 
@@ -18,31 +19,19 @@
 ): { readonly configuration: Uint8Array, readonly changes: Uint8Array } {
   const changes = sinceVersion === 0 ? undefined : changesSince(configuration, sinceVersion)
   return changes === undefined
-    ? { configuration: encode(configuration), changes: EMPTY }
-    : { configuration: EMPTY, changes: encode(changes) }
+    ? { configuration: encodeJson(configuration), changes: EMPTY }
+    : { configuration: EMPTY, changes: encodeJson(changes) }
 }
 
 /** Reads a whole configuration. The error says what is wrong. */
 export function decodeConfiguration (bytes: Uint8Array): Result<Configuration, string> {
-  return parseConfiguration(decode(bytes)).mapErr(formatPlatformError)
+  return parseConfiguration(decodeJson(bytes)).mapErr(formatPlatformError)
 }
 
 /** Applies changes to the configuration that they follow. The error says what is wrong. */
 export function decodeChanges (bytes: Uint8Array, base: Configuration): Result<Configuration, string> {
-  const parsed = Changes.safeParse(decode(bytes))
+  const parsed = Changes.safeParse(decodeJson(bytes))
   if (!parsed.success) return err(`changes: ${parsed.error.issues[0].message}`)
   return applyChanges(base, parsed.data as unknown as readonly Change[])
     .mapErr(problems => problems.map(problemText).join('; '))
 }
-
-function encode (value: unknown): Uint8Array {
-  return Buffer.from(JSON.stringify(value))
-}
-
-function decode (bytes: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(bytes).toString('utf8'))
-  } catch {
-    return undefined
-  }
-}
--- a/packages/entry/src/daemon.ts
+++ b/packages/entry/src/daemon.ts
@@ -100,6 +100,7 @@
     upstreamClient,
     sendHeartbeat: peerClient.sendHeartbeat,
     pullConfiguration: peerClient.pullConfiguration,
+    pullList: peerClient.pullList,
     onStopped: () => onStopped(),
     telemetry
   })
--- a/packages/entry/src/peer-client.ts
+++ b/packages/entry/src/peer-client.ts
@@ -2,13 +2,14 @@
  * Calls to other entry instances: heartbeats and configuration. Each call ends in an event.
  */
 import { Agent } from 'node:http'
-import type { Configuration, PullConfiguration, SendHeartbeat } from '@arbutustray/core'
+import type { Configuration, PullConfiguration, PullList, SendHeartbeat } from '@arbutustray/core'
 import { Peer } from '@arbutustray/protocol'
 import type { Telemetry } from '@arbutustray/telemetry'
 import { createClient } from '@connectrpc/connect'
 import type { Client, Interceptor } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { decodeChanges, decodeConfiguration } from './configuration-message.js'
+import { decodeList } from './list-message.js'
 import type { Emit } from './event-source.js'
 import { HEADER } from './headers.js'
 import { fromMessage, toMessage } from './heartbeat-message.js'
@@ -26,6 +27,7 @@
 export interface PeerClient {
   readonly sendHeartbeat: (command: SendHeartbeat) => void
   readonly pullConfiguration: (command: PullConfiguration) => void
+  readonly pullList: (command: PullList) => void
   readonly close: () => void
 }
 
@@ -83,6 +85,15 @@
     )
   }
 
+  async function pullList ({ address }: PullList): Promise<void> {
+    const { list } = await clientFor(address).pullList({})
+    if (list.length === 0) return
+    decodeList(list).match(
+      entries => emit({ type: 'list-received', entries }),
+      error => telemetry.log('list-unreadable', { error })
+    )
+  }
+
   return {
     sendHeartbeat: command => {
       exchange(command).catch(error => onUnreachable(command.instanceId, command.address, error))
@@ -90,6 +101,9 @@
     pullConfiguration: command => {
       pull(command).catch(error => onUnreachable(command.instanceId, command.address, error))
     },
+    pullList: command => {
+      pullList(command).catch(error => onUnreachable(command.instanceId, command.address, error))
+    },
     close: () => agent.destroy()
   }
 }
--- a/packages/entry/src/peer-server.ts
+++ b/packages/entry/src/peer-server.ts
@@ -4,11 +4,13 @@
  */
 import type { IncomingMessage } from 'node:http'
 import type { Engine, RequestArrived } from '@arbutustray/core'
+import { knownList } from '@arbutustray/core'
 import { Peer } from '@arbutustray/protocol'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { encodeDifference } from './configuration-message.js'
+import { encodeList } from './list-message.js'
 import type { Emit } from './event-source.js'
 import { HEADER, single } from './headers.js'
 import { fromMessage, toMessage } from './heartbeat-message.js'
@@ -61,7 +63,8 @@
           return { version: configuration?.version ?? 0, configuration: EMPTY, changes: EMPTY }
         }
         return { version: configuration.version, ...encodeDifference(configuration, sinceVersion) }
-      }
+      },
+      pullList: () => ({ list: encodeList(knownList(engine.world)) })
     })
   }
 }
--- a/packages/platform/src/http-platform.ts
+++ b/packages/platform/src/http-platform.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import type { InstanceList } from './instance-list.js'
+import { parseInstanceList } from './instance-list.js'
 import type { ObjectStore, StoredObject } from './object-store.js'
 import type { PlatformError } from './platform-error.js'
 import { err, errAsync, ok, ResultAsync } from 'neverthrow'
@@ -40,15 +41,6 @@
 const storedObject = z.object({ version: z.int().positive(), value: z.unknown() })
 const conflictReply = z.object({ version: z.int().nonnegative() })
 const writeReply = z.object({ version: z.int().positive() })
-const instanceList = z.array(z.object({
-  id: z.string(),
-  role: z.enum(['entry', 'upstream']),
-  service: z.string().optional(),
-  zone: z.string(),
-  address: z.string(),
-  peerAddress: z.string().optional(),
-  state: z.enum(['live', 'leaving'])
-}))
 
 interface Reply {
   readonly status: number
@@ -134,7 +126,7 @@
         }),
 
     list: async () => await call('/instances').andThen<readonly ListedInstance[], PlatformError>(reply =>
-      reply.status === 200 ? parse(instanceList, reply.body) : err(refusalOf(reply, false))),
+      reply.status === 200 ? parseInstanceList(reply.body) : err(refusalOf(reply, false))),
 
     close: async () => await agent.destroy()
   }
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -80,6 +80,12 @@
     fields: ['peerId', 'error']
   },
   'peer-rejected': { number: 4002, level: 'warn', message: 'a call to the peer port had a wrong token', fields: ['path'] },
+  'list-unreadable': {
+    number: 4003,
+    level: 'error',
+    message: 'list of instances from a peer was ignored: {error}',
+    fields: ['error']
+  },
   'configuration-adopted': {
     number: 5001,
     level: 'info',
