Require the instance that starts in an outage to serve

The test of an outage checked the configuration of the new instance only. It now also needs its upstreams and one whole answer through it.

--- a/packages/standins/tests/processes/platform-failures.test.ts
+++ b/packages/standins/tests/processes/platform-failures.test.ts
@@ -36,6 +36,9 @@
   fleet.start(B)
   await waitUntil('the new instance answers', 20_000, async () => await fleet.version(B) >= 0)
   await waitUntil('the new instance has the configuration', CONFIGURATION_LIMIT_MS, async () => await fleet.version(B) === 1)
+  await waitUntil('the new instance has upstreams', CONFIGURATION_LIMIT_MS, async () =>
+    (await fleet.call(fleet.instance(B), '/v1/status')).upstreams.length > 0)
+  expect((await fleet.send(B, check('new'))).end).toBe('whole')
   const keys = await fleet.keys(A, 20)
   const samples = (await Promise.all(keys.map(async (key, index) =>
     [await fleet.send(index % 2 === 0 ? A : C, purchase(`${index}`, key)), await fleet.send(C, check(`${index}`))]))).flat()
