--- a/packages/bench/src/path/main.ts
+++ b/packages/bench/src/path/main.ts
@@ -4,6 +4,7 @@
 import { Builtins, Cli, Command, Option } from 'clipanion'
 import type { PathFigures } from './measure.js'
 import { measurePath } from './measure.js'
+import { plotPath } from './plot.js'
 
 const DEFAULT_ROUNDS = '5'
 const DEFAULT_ROUND_MS = '2000'
@@ -29,6 +30,7 @@
   static override usage = Command.Usage({ description: 'Compares an entry instance with a bare pass-through on loopback.' })
 
   json = Option.Boolean('--json', false, { description: 'Print one JSON object and nothing else on standard output.' })
+  out = Option.String('--out', { description: 'Folder for plots.' })
   rounds = Option.String('--rounds', DEFAULT_ROUNDS, { description: 'Rounds of each server.' })
   roundMs = Option.String('--round-ms', DEFAULT_ROUND_MS, { description: 'Length of a round.' })
   concurrency = Option.String('--concurrency', DEFAULT_CONCURRENCY, { description: 'Connections of the load.' })
@@ -42,6 +44,7 @@
       blocks: Number(this.blocks)
     }, text => { this.context.stderr.write(`${text}\n`) })
     this.context.stdout.write(`${this.json ? JSON.stringify(figures) : format(figures)}\n`)
+    if (this.out !== undefined) await plotPath(this.out, figures)
     return 0
   }
 }
--- a/packages/bench/src/policy/plot.ts
+++ b/packages/bench/src/policy/plot.ts
@@ -1,12 +1,9 @@
 /**
  * Draws the p99 of each policy as an SVG bar chart.
  */
-import { mkdir, writeFile } from 'node:fs/promises'
-import { join } from 'node:path'
 import type { TopLevelSpec } from 'vega-lite'
 import type { UserFigures } from './scenarios.js'
-import { View, parse } from 'vega'
-import { compile } from 'vega-lite'
+import { writeChart } from '../chart-file.js'
 
 function createSpec (title: string, p99: UserFigures['p99']): TopLevelSpec {
   const values = Object.entries(p99).flatMap(([policy, settings]) =>
@@ -27,11 +24,7 @@
   }
 }
 
-/** Writes one SVG file for each user into the folder, which is created if it is missing. */
+/** Writes one SVG file for each user into the folder. */
 export async function plotUsers (folder: string, users: Readonly<Record<string, UserFigures>>): Promise<void> {
-  await mkdir(folder, { recursive: true })
-  for (const [name, { p99 }] of Object.entries(users)) {
-    const view = new View(parse(compile(createSpec(name, p99)).spec), { renderer: 'none' })
-    await writeFile(join(folder, `policy-${name}.svg`), await view.toSVG())
-  }
+  for (const [name, { p99 }] of Object.entries(users)) await writeChart(folder, `policy-${name}`, createSpec(name, p99))
 }
