--- a/packages/bench/src/slopes/slopes.ts
+++ b/packages/bench/src/slopes/slopes.ts
@@ -7,6 +7,7 @@
 import {
   applyChanges, createBlockTableBuilder, createConfigurationSystem, createMembershipSystem, createWorld, lookup
 } from '@arbutustray/core'
+import { toMessage } from '@arbutustray/entry'
 import { HeartbeatSchema } from '@arbutustray/protocol'
 import { createRandom } from '../policy/random.js'
 import { fitSlope, microsecondsPerCall, retainedBytes } from './measure.js'
@@ -137,15 +138,7 @@
 
 function heartbeatBytes (): number {
   const [entry, ...others] = createSampleList(9)
-  const { state, ...heartbeat } = createHeartbeat(entry!, others)
-  const sightings = heartbeat.sightings.map(({ state: sighted, ...row }) => ({ ...row, leaving: sighted === 'leaving' }))
-  return toBinary(HeartbeatSchema, create(HeartbeatSchema, {
-    ...heartbeat,
-    headroom: [...heartbeat.headroom],
-    sightings,
-    leaving: state === 'leaving',
-    leavingUpstreams: [...heartbeat.leavingUpstreams]
-  })).byteLength
+  return toBinary(HeartbeatSchema, create(HeartbeatSchema, toMessage(createHeartbeat(entry!, others)))).byteLength
 }
 
 interface PeerRow {
--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -2,7 +2,7 @@
  * Client of the operator port. A confirmation that was sent without a readable answer is `unknown`, because the
  * change may have taken effect.
  */
-import type { Change, Configuration, Decision, LookupAnswer, Operation, Plan } from '@arbutustray/core'
+import type { Change, Configuration, Confirmation, Decision, LookupAnswer, Operation, Plan } from '@arbutustray/core'
 import type { Result } from 'neverthrow'
 import { err, ok } from 'neverthrow'
 import { request } from 'undici'
@@ -13,16 +13,6 @@
   | { readonly type: 'refused', readonly status: number, readonly reason: string }
   | { readonly type: 'unknown', readonly reason: string }
 
-/** What the operator confirms. */
-export interface Confirmation {
-  readonly planId: string
-  readonly baseVersion: number
-  readonly operations: readonly Operation[]
-  readonly changeId: string
-  readonly actor: string
-  readonly reason: string
-}
-
 /** What became of a confirmation. */
 export type ConfirmationAnswer =
   | { readonly type: 'accepted', readonly version: number }
--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -1,6 +1,7 @@
 export * from './apply-operations.js'
 export * from './change.js'
 export * from './configuration-system.js'
+export * from './confirmation.js'
 export * from './make-plan.js'
 export * from './problem.js'
 export * from './traffic.js'
--- a/packages/entry/src/confirm.ts
+++ b/packages/entry/src/confirm.ts
@@ -3,21 +3,11 @@
  * has moved since.
  */
 import { wallNow } from '@arbutustray/core'
-import type { Configuration, Engine, Operation, Plan } from '@arbutustray/core'
+import type { Configuration, Confirmation, Engine, Plan } from '@arbutustray/core'
 import type { CommitError, ConfigurationWriter } from '@arbutustray/platform'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { Emit } from './event-source.js'
 
-/** What the operator confirms. */
-export interface Confirmation {
-  readonly planId: string
-  readonly baseVersion: number
-  readonly operations: readonly Operation[]
-  readonly changeId: string
-  readonly actor: string
-  readonly reason: string
-}
-
 /** HTTP status and body of the answer. */
 export type ConfirmationAnswer =
   | { readonly status: 200, readonly body: { readonly version: number } }
--- a/packages/entry/src/operator-server.ts
+++ b/packages/entry/src/operator-server.ts
@@ -4,10 +4,10 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { REASONS } from '@arbutustray/core'
-import type { Engine, Operation } from '@arbutustray/core'
+import type { Confirmation, Engine, Operation } from '@arbutustray/core'
 import type { Telemetry } from '@arbutustray/telemetry'
 import { z } from 'zod'
-import type { Confirmation, ConfirmationAnswer } from './confirm.js'
+import type { ConfirmationAnswer } from './confirm.js'
 import type { RequestHandler } from './http-server.js'
 import { readJson } from './json-body.js'
 import { operation } from './operation-schema.js'
