State the headroom of a zone in answers to forwarded requests

Cause: a zone that fills within a slow spell of 300 ms forwarded by headroom that heartbeats bring once a second. Ruled out: leaving out suspects' slots, and not excluding suspects (docs/MEASURES.md); faster heartbeats help but exceed the budget for control. Change: answers to forwards carry the answering zone's headroom for the service in one header; the newer of it and the last heartbeat counts.

--- a/packages/bench/src/policy/node-fake.ts
+++ b/packages/bench/src/policy/node-fake.ts
@@ -2,7 +2,7 @@
  * One entry instance in a replay: its engine, and the exchanges that carry out the engine's commands over virtual
  * time and fake upstreams.
  */
-import type { Command, Dispatch, Engine, Event, Forward, RequestArrived } from '@arbutustray/core'
+import type { Command, Dispatch, Engine, Event, Forward, Headroom, RequestArrived } from '@arbutustray/core'
 import type { Profile } from './profile.js'
 import type { Site } from './site.js'
 import type { VirtualTime } from './virtual-time.js'
@@ -12,8 +12,7 @@
 
 /** How a request ended at a node. */
 export type End =
-  | { readonly type: 'answered', readonly reason: string }
-  | { readonly type: 'refused' | 'unknown', readonly reason: string }
+  | { readonly type: 'answered' | 'refused' | 'unknown', readonly reason: string }
 
 /** A request that a node works on. */
 export interface Exchange {
@@ -92,9 +91,9 @@
     exchange?.onEnd(end)
   }
 
-  function answer (target: number, attemptId: string): void {
+  function answer (target: number, attemptId: string, headroom?: Headroom): void {
     cancels.delete(attemptId)
-    deliverTo(target, { type: 'attempt-answered', attemptId, status: 200 })
+    deliverTo(target, { type: 'attempt-answered', attemptId, status: 200, ...(headroom === undefined ? {} : { headroom }) })
     deliverTo(target, { type: 'attempt-finished', attemptId })
   }
 
@@ -127,8 +126,9 @@
     const target = incarnation
     const { attemptId } = command
     const exchange = exchanges.get(command.requestId)
+    const arrival = arrivals.get(command.requestId)
     const peer = options.peer(command.instanceId)
-    if (exchange === undefined) return
+    if (exchange === undefined || arrival === undefined) return
     if (peer === undefined || !peer.alive()) {
       time.after(CONNECT_TIMEOUT_MS, () => deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'not-written' }))
       return
@@ -142,17 +142,23 @@
         time.after(CONNECT_TIMEOUT_MS, () => deliverTo(target, { type: 'attempt-failed', attemptId, truncated: false }))
         return
       }
-      peer.accept({ ...arrivals.get(command.requestId)!, requestId, timeoutMs: command.timeoutMs, forwarded: { instanceId: options.id, originZone: command.originZone, tenant: command.tenant, keyHome: command.keyHome } }, {
+      const { originZone, tenant, keyHome, timeoutMs } = command
+      const forwarded = { instanceId: options.id, originZone, tenant, keyHome }
+      peer.accept({ ...arrival, requestId, timeoutMs, forwarded }, {
         ...exchange,
-        onEnd: end => time.after(delay, () => endForward(target, attemptId, end))
+        onEnd: end => {
+          const headroom = peer.engine.headroom(arrival.service)
+          time.after(delay, () => endForward(target, attemptId, end, headroom))
+        }
       })
     })
   }
 
-  function endForward (target: number, attemptId: string, end: End): void {
-    if (end.type === 'answered') answer(target, attemptId)
-    else if (end.type === 'refused') deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'shed' })
-    else deliverTo(target, { type: 'attempt-failed', attemptId, truncated: false })
+  function endForward (target: number, attemptId: string, end: End, headroom: Headroom | undefined): void {
+    if (end.type === 'answered') answer(target, attemptId, headroom)
+    else if (end.type === 'refused') {
+      deliverTo(target, { type: 'attempt-refused', attemptId, proof: 'shed', ...(headroom === undefined ? {} : { headroom }) })
+    } else deliverTo(target, { type: 'attempt-failed', attemptId, truncated: false })
   }
 
   let arrivals = new Map<string, RequestArrived>()
--- a/packages/core/src/create-engine.ts
+++ b/packages/core/src/create-engine.ts
@@ -5,7 +5,7 @@
 import type { Command } from './command.js'
 import type { Configuration, Operation } from './configuration.js'
 import type { Event } from './event.js'
-import type { Heartbeat } from './heartbeat.js'
+import type { Headroom, Heartbeat } from './heartbeat.js'
 import type { Reason } from './reason.js'
 import type { Self, World } from './tables.js'
 import { err } from 'neverthrow'
@@ -93,6 +93,8 @@
   readonly explain: (requestId: string) => Decision | undefined
   /** This instance's state for a peer, as the answer to its heartbeat. */
   readonly heartbeat: () => Heartbeat
+  /** Headroom of a service, for the answer to a forwarded request; `undefined` if the zone takes no work for it. */
+  readonly headroom: (service: string) => Headroom | undefined
   readonly configuration: () => Configuration | undefined
   /** The tables, for status pages and tests. */
   readonly world: World
@@ -117,6 +119,7 @@
       ? err({ reason: 'no-configuration' })
       : makePlan(world.configuration, operations),
     explain: routing.explain,
+    headroom: service => routing.serviceHeadroom(service, monotonicNow()),
     heartbeat: () => membership.heartbeat(monotonicNow()),
     configuration: () => world.configuration,
     world
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -3,7 +3,7 @@
  * compared with this process's clock.
  */
 import type { Configuration } from './configuration.js'
-import type { Heartbeat } from './heartbeat.js'
+import type { Headroom, Heartbeat } from './heartbeat.js'
 import type { Reason } from './reason.js'
 
 /** One entry of the platform's lagging list. */
@@ -59,6 +59,8 @@
 export interface AttemptRefused {
   readonly type: 'attempt-refused'
   readonly attemptId: string
+  /** Headroom of the entry instance that refused a forward, for the request's service. */
+  readonly headroom?: Headroom
   /** `not-written`: the connection failed before the first write. `shed`: the receiver stated a refusal. */
   readonly proof: 'not-written' | 'shed'
   /** The receiver announced that it is leaving. */
@@ -73,6 +75,8 @@
 export interface AttemptAnswered {
   readonly type: 'attempt-answered'
   readonly attemptId: string
+  /** Headroom of the entry instance that answered a forward, for the request's service. */
+  readonly headroom?: Headroom
   readonly status: number
   readonly leaving?: boolean
 }
--- a/packages/core/src/routing/attempt-events.ts
+++ b/packages/core/src/routing/attempt-events.ts
@@ -2,6 +2,7 @@
  * Applies what happened to an attempt, then decides whether its request is answered, retried or ended.
  */
 import type { AttemptAnswered, AttemptFailed, AttemptFinished, AttemptRefused, AttemptWritten } from '../event.js'
+import type { Headroom } from '../heartbeat.js'
 import type { Reason } from '../reason.js'
 import type { Attempt, Request } from '../tables.js'
 import type { Progress } from './progress.js'
@@ -49,6 +50,13 @@
   context.trips.observe(attempt.zone, now - attempt.startedAt - serviceMs, distance(context, attempt.zone))
 }
 
+function recordStated (
+  context: RoutingContext, { attempt, request }: Found, headroom: Headroom | undefined, now: number
+): void {
+  if (headroom === undefined || attempt.target.type !== 'instance' || headroom.service !== request.service) return
+  context.peerLoad.recordStated(attempt.target.id, headroom, now)
+}
+
 /** The first byte was handed to the socket. */
 export function attemptWritten (context: RoutingContext, event: AttemptWritten): void {
   const attempt = context.world.attempts.get(event.attemptId)
@@ -68,6 +76,7 @@
   context.attempts.end(attempt, progress, shed ? 'refused' : 'unreachable', step.now)
   const request = { ...found.request, refusals: found.request.refusals + 1 }
   context.world.requests.set(request.id, request)
+  recordStated(context, found, event.headroom, step.now)
   if (attempt.target.type === 'instance' && progress.keyHome === undefined) {
     context.peerLoad.recordRefusal(attempt.target.id, request.service, request.length, step.now)
   }
@@ -98,6 +107,7 @@
   const freesSlots = progress.open.length > 1
   cancelOpen(context, progress, step, attempt.id)
   setState(context, request, 'answering')
+  recordStated(context, found, event.headroom, step.now)
   const serviceMs = context.parts.upstreams.expectedServiceMs(request.service, request.length)
   if (attempt.target.type === 'instance') observeTrip(context, found, serviceMs, step.now)
   else if (request.length === 'short') {
--- a/packages/core/src/routing/headroom.ts
+++ b/packages/core/src/routing/headroom.ts
@@ -1,17 +1,23 @@
 /**
- * Headroom of the own zone, for the heartbeat.
+ * Headroom of the own zone, for heartbeats and for answers to forwarded requests.
  */
 import type { Headroom } from '../heartbeat.js'
 import type { RoutingContext } from './routing-context.js'
 
-/** Free slots, all slots and queued requests of each service that the own zone takes new work for. */
-export function headroomOf (context: RoutingContext, now: number): readonly Headroom[] {
+/** Free slots, all slots and queued requests of a service; `undefined` if the own zone takes no new work for it. */
+export function serviceHeadroom (context: RoutingContext, service: string, now: number): Headroom | undefined {
   const { zone } = context.world.self
+  if (!context.hosting.accepts(service, zone)) return undefined
+  return {
+    service,
+    free: context.parts.slots.free(service, zone, now),
+    slots: context.parts.slots.total(service, zone, now),
+    queued: context.queues.size(service, 'short') + context.queues.size(service, 'long')
+  }
+}
+
+/** The headroom of all services. */
+export function headroomOf (context: RoutingContext, now: number): readonly Headroom[] {
   const services = context.world.configuration?.services ?? []
-  return services.filter(({ id }) => context.hosting.accepts(id, zone)).map(({ id }) => ({
-    service: id,
-    free: context.parts.slots.free(id, zone, now),
-    slots: context.parts.slots.total(id, zone, now),
-    queued: context.queues.size(id, 'short') + context.queues.size(id, 'long')
-  }))
+  return services.map(({ id }) => serviceHeadroom(context, id, now)).filter(row => row !== undefined)
 }
--- a/packages/core/src/routing/peer-load.ts
+++ b/packages/core/src/routing/peer-load.ts
@@ -1,11 +1,12 @@
 /**
- * Free slots of peers, from their last headroom, the forwards of this instance that started and ended since, and
+ * Free slots of peers, from their last headroom (heartbeats and answers to forwards carry it), the forwards of this instance that started and ended since, and
  * refusals. A peer admits or refuses at once by its own outstanding work, so after a refusal it is known to have no
  * free slot. It is then used again as far as forwards to it end, and a little more with each that was answered; one
  * that has none is tried again after a pause. Without this rule each request of an overloaded zone would be forwarded
  * and refused before it is queued. New headroom replaces what the refusals said.
  */
 import type { LengthClass } from '../configuration.js'
+import type { Headroom } from '../heartbeat.js'
 import type { Instance } from '../tables.js'
 
 /** What is known of a peer's slots. */
@@ -14,6 +15,10 @@
   readonly free: number
   /** The peer refused such work since its last headroom. */
   readonly refused: boolean
+  /** All slots of the service in the peer's zone that the peer may use. */
+  readonly slots: number
+  /** Requests that wait at the peer. */
+  readonly queued: number
 }
 
 /** Forwards and refusals by peer and service. */
@@ -22,6 +27,8 @@
   recordEnd (instanceId: string, service: string, answered: boolean): void
   /** New headroom of the peer has arrived; it includes the forwards that are outstanding now. */
   recordHeadroom (instanceId: string): void
+  /** An answer to a forward carried the peer's headroom for one service. */
+  recordStated (instanceId: string, headroom: Headroom, now: number): void
   recordRefusal (instanceId: string, service: string, length: LengthClass, now: number): void
   freeSlots (instance: Instance, service: string, length: LengthClass, now: number): FreeSlots
   /** Drops instances that are no longer known. */
@@ -39,13 +46,30 @@
   admitted: number
 }
 
+interface Stated {
+  readonly headroom: Headroom
+  readonly at: number
+}
+
 interface Row {
   outstanding: number
   /** `outstanding` when the last headroom arrived. */
   atHeadroom: number
+  /** Headroom that came with an answer. */
+  stated: Stated | undefined
   readonly refusals: Map<LengthClass, Refusal>
 }
 
+const NO_HEADROOM = { free: 0, slots: 0, queued: 0 }
+
+/** The newer one of the headroom from heartbeats and from answers. */
+function latest (
+  instance: Instance, service: string, row: Row | undefined
+): { readonly headroom: Headroom | undefined, readonly at: number } {
+  if (row?.stated !== undefined && row.stated.at > instance.headroomAt) return row.stated
+  return { headroom: instance.headroom.get(service), at: instance.headroomAt }
+}
+
 /** Creates an empty record. */
 export function createPeerLoad (): PeerLoad {
   const peers = new Map<string, Map<string, Row>>()
@@ -54,7 +78,7 @@
     let rows = peers.get(instanceId)
     if (rows === undefined) peers.set(instanceId, rows = new Map())
     let row = rows.get(service)
-    if (row === undefined) rows.set(service, row = { outstanding: 0, atHeadroom: 0, refusals: new Map() })
+    if (row === undefined) rows.set(service, row = { outstanding: 0, atHeadroom: 0, stated: undefined, refusals: new Map() })
     return row
   }
 
@@ -68,20 +92,26 @@
     recordHeadroom: instanceId => {
       for (const row of peers.get(instanceId)?.values() ?? []) row.atHeadroom = row.outstanding
     },
+    recordStated: (instanceId, headroom, now) => {
+      const row = rowOf(instanceId, headroom.service)
+      row.stated = { headroom, at: now }
+      row.atHeadroom = row.outstanding
+    },
     recordRefusal: (instanceId, service, length, now) => {
       const row = rowOf(instanceId, service)
       row.refusals.set(length, { at: now, admitted: row.outstanding })
     },
     freeSlots: (instance, service, length, now) => {
-      const stated = instance.headroom.get(service)?.free ?? 0
       const row = peers.get(instance.id)?.get(service)
-      if (row === undefined) return { free: stated, refused: false }
+      const { headroom, at } = latest(instance, service, row)
+      const { free: stated, slots, queued } = headroom ?? NO_HEADROOM
+      if (row === undefined) return { free: stated, refused: false, slots, queued }
       const refusal = row.refusals.get(length)
-      if (refusal === undefined || refusal.at < instance.headroomAt) {
-        return { free: stated - (row.outstanding - row.atHeadroom), refused: false }
+      if (refusal === undefined || refusal.at < at) {
+        return { free: stated - (row.outstanding - row.atHeadroom), refused: false, slots, queued }
       }
       const admitted = row.outstanding === 0 && now - refusal.at >= PROBE_AFTER_MS ? 1 : Math.floor(refusal.admitted)
-      return { free: admitted - row.outstanding, refused: true }
+      return { free: admitted - row.outstanding, refused: true, slots, queued }
     },
     forget: known => {
       for (const instanceId of peers.keys()) if (!known(instanceId)) peers.delete(instanceId)
--- a/packages/core/src/routing/routing-system.ts
+++ b/packages/core/src/routing/routing-system.ts
@@ -13,7 +13,7 @@
 import { arrive } from './arrival.js'
 import { attemptAnswered, attemptFailed, attemptFinished, attemptRefused, attemptWritten } from './attempt-events.js'
 import { cancelRequest, expireDue } from './expiry.js'
-import { headroomOf } from './headroom.js'
+import { headroomOf, serviceHeadroom } from './headroom.js'
 import { hedgeDue } from './hedging.js'
 import { serveAll, serveService, sweepQueues } from './queue-service.js'
 import { createRoutingContext } from './routing-context.js'
@@ -24,6 +24,7 @@
   readonly explain: (requestId: string) => Decision | undefined
   /** Headroom of the own zone. */
   readonly headroom: (now: number) => readonly Headroom[]
+  readonly serviceHeadroom: (service: string, now: number) => Headroom | undefined
 }
 
 /** Creates the routing system over a world. It owns the tables `requests` and `attempts`. */
@@ -76,6 +77,7 @@
   return {
     system,
     explain: context.decisions.find,
-    headroom: now => headroomOf(context, now)
+    headroom: now => headroomOf(context, now),
+    serviceHeadroom: (service, now) => serviceHeadroom(context, service, now)
   }
 }
--- a/packages/core/src/routing/zone-selector.ts
+++ b/packages/core/src/routing/zone-selector.ts
@@ -42,13 +42,12 @@
 
 /** Wait at a peer. One that refused has no queue for forwarded work, so only a free slot counts there. */
 function peerWaitMs (context: RoutingContext, instance: Instance, request: Request, now: number): number {
-  const headroom = instance.headroom.get(request.service)
-  if (headroom === undefined || headroom.slots === 0) return Infinity
-  const { free, refused } = context.peerLoad.freeSlots(instance, request.service, request.length, now)
+  const { free, refused, slots, queued } = context.peerLoad.freeSlots(instance, request.service, request.length, now)
+  if (slots === 0) return Infinity
   if (free > 0) return 0
   if (refused) return Infinity
-  const ahead = headroom.queued + 1 - free
-  return ahead * context.parts.upstreams.expectedServiceMs(request.service, request.length) / headroom.slots
+  const ahead = queued + 1 - free
+  return ahead * context.parts.upstreams.expectedServiceMs(request.service, request.length) / slots
 }
 
 function linkWaitMs (
--- a/packages/core/tests/routing/peer-load.test.ts
+++ b/packages/core/tests/routing/peer-load.test.ts
@@ -17,6 +17,18 @@
     expect(free(load, 13)).toBe(2)
   })
 
+  it('uses the headroom of an answer until a newer heartbeat, guarding against forwards by news that is a second old', () => {
+    const load = createPeerLoad()
+    load.recordStart('p2', 's')
+    load.recordStated('p2', { service: 's', free: 7, slots: 9, queued: 0 }, 11)
+    expect(free(load, 12)).toBe(7)
+    load.recordEnd('p2', 's', true)
+    expect(free(load, 13)).toBe(8)
+    load.recordStated('p2', { service: 's', free: 0, slots: 9, queued: 4 }, 14)
+    expect(load.freeSlots({ ...peer, headroomAt: 10 }, 's', 'short', 15)).toEqual({ free: 0, refused: false, slots: 9, queued: 4 })
+    expect(free(load, 16, 15)).not.toBe(0)
+  })
+
   it('admits after a refusal what ends, grows with answers, and probes, guarding against a peer that stays closed', () => {
     const load = createPeerLoad()
     for (let count = 0; count < 3; count += 1) load.recordStart('p2', 's')
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -2,13 +2,14 @@
  * One try of a request at an upstream or at another entry instance: turns what undici reports into the attempt's
  * events. Each attempt gives at most one of `attempt-refused`, `attempt-finished` and `attempt-failed`.
  */
-import type { Reason, RecordedAnswer } from '@arbutustray/core'
+import type { AttemptRefused, Headroom, Reason, RecordedAnswer } from '@arbutustray/core'
 import { REASONS } from '@arbutustray/core'
 import type { Hop, Telemetry } from '@arbutustray/telemetry'
 import type { Dispatcher } from 'undici'
 import type { Emit } from './event-source.js'
 import type { Exchange } from './exchange.js'
-import { HEADER, answerHeaders } from './headers.js'
+import { HEADER, answerHeaders, single } from './headers.js'
+import { parseHeadroom } from './headroom-header.js'
 
 /** Largest body that is kept for the key table, in bytes. */
 export const RECORD_LIMIT_BYTES = 4_096
@@ -41,6 +42,8 @@
 /** What the head of an answer says about the attempt. */
 type Disposition = 'answered' | 'refused' | 'failed'
 
+type RefusalDetails = Pick<AttemptRefused, 'leaving' | 'reason' | 'headroom'>
+
 /** Handler of one undici dispatch. */
 export class Attempt implements Dispatcher.DispatchHandler {
   readonly #deadlineAt: number
@@ -82,10 +85,11 @@
     const leaving = target.type === 'upstream' && isAsserted(headers[HEADER.leaving]) ? { leaving: true } : {}
     const disposition = this.#classify(status, headers)
     if (disposition === 'failed') return this.#abandon(controller, 'peer states an unknown outcome', statedReason(headers))
-    if (disposition === 'refused') return this.#refuse('shed', { ...leaving, ...statedReason(headers) })
+    const headroom = this.#statedHeadroom(headers)
+    if (disposition === 'refused') return this.#refuse('shed', { ...leaving, ...headroom, ...statedReason(headers) })
     this.#status = status
     this.#headers = answerHeaders(headers)
-    emit({ type: 'attempt-answered', attemptId, status, ...leaving })
+    emit({ type: 'attempt-answered', attemptId, status, ...leaving, ...headroom })
     if (!this.#relayed && !this.#ended) controller.pause()
   }
 
@@ -132,6 +136,12 @@
     this.#controller?.abort(new Error('cancelled'))
   }
 
+  #statedHeadroom (headers: AnswerHeaders): { readonly headroom?: Headroom } {
+    if (this.options.target.type !== 'instance') return {}
+    const headroom = parseHeadroom(this.options.exchange.options.service, single(headers[HEADER.headroom]))
+    return headroom === undefined ? {} : { headroom }
+  }
+
   #classify (status: number, headers: AnswerHeaders): Disposition {
     if (this.options.target.type === 'upstream') {
       return status === 503 && isAsserted(headers[this.options.refusalHeader]) ? 'refused' : 'answered'
@@ -141,7 +151,7 @@
     return outcome === 'served' ? 'answered' : 'failed'
   }
 
-  #refuse (proof: 'not-written' | 'shed', details: { readonly leaving?: boolean, readonly reason?: Reason }): void {
+  #refuse (proof: 'not-written' | 'shed', details: RefusalDetails): void {
     const { attemptId, exchange, target, telemetry, emit } = this.options
     const { body, requestId } = exchange.options
     this.#end('refused')
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -4,9 +4,10 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { REASONS } from '@arbutustray/core'
-import type { Outcome, Reason, RecordedAnswer, RequestKind } from '@arbutustray/core'
+import type { Headroom, Outcome, Reason, RecordedAnswer, RequestKind } from '@arbutustray/core'
 import type { Hop } from '@arbutustray/telemetry'
 import { HEADER } from './headers.js'
+import { formatHeadroom } from './headroom-header.js'
 import { discardRest } from './request-body.js'
 import type { RequestBody } from './request-body.js'
 
@@ -32,6 +33,8 @@
   readonly hop: Hop
   readonly instanceId: string
   readonly version: () => number
+  /** Set when a peer forwarded the request, which wants to know what more it may forward. */
+  readonly headroom: (() => Headroom | undefined) | undefined
   /** Called once, when the answer was handed over whole or the caller's connection has ended. */
   readonly onEnd: (exchange: Exchange, end: ExchangeEnd) => void
 }
@@ -94,6 +97,8 @@
       HEADER.version, String(version()),
       HEADER.requestId, callerId
     )
+    const headroom = this.options.headroom?.()
+    if (headroom !== undefined) all.push(HEADER.headroom, formatHeadroom(headroom))
     response.writeHead(status, all)
   }
 
--- a/packages/entry/src/headers.ts
+++ b/packages/entry/src/headers.ts
@@ -10,6 +10,7 @@
   version: 'arbutustray-version',
   timeout: 'arbutustray-timeout-ms',
   leaving: 'arbutustray-leaving',
+  headroom: 'arbutustray-headroom',
   originZone: 'arbutustray-origin-zone',
   tenant: 'arbutustray-tenant',
   forwardedBy: 'arbutustray-forwarded-by',
--- a/packages/entry/src/intake.ts
+++ b/packages/entry/src/intake.ts
@@ -74,7 +74,7 @@
     const onBody = (body: RequestBody): void => {
       // The time that a small body took counts against the caller's deadline.
       const leftMs = timeoutMs === undefined ? undefined : Math.max(0, timeoutMs - (performance.now() - begunAt))
-      exchange = open(request, response, path, callerId, body)
+      exchange = open(request, response, path, callerId, body, forwarded !== undefined)
       const arrived = arrivedEvent(request, exchange, path, leftMs, forwarded)
       exchanges.set(exchange.options.requestId, exchange)
       emit(arrived)
@@ -92,7 +92,8 @@
   }
 
   function open (
-    request: IncomingMessage, response: ServerResponse, path: ServicePath, callerId: string, body: RequestBody
+    request: IncomingMessage, response: ServerResponse, path: ServicePath, callerId: string, body: RequestBody,
+    fromPeer: boolean
   ): Exchange {
     const { requestId, wireId } = ids.assign(callerId)
     return new Exchange({
@@ -110,6 +111,7 @@
       hop: telemetry.traces.begin('request', single(request.headers[HEADER.traceparent])),
       instanceId: options.instanceId,
       version: () => engine.configuration()?.version ?? 0,
+      headroom: fromPeer ? () => engine.headroom(path.service) : undefined,
       onEnd
     })
   }
--- a/packages/entry/tests/real/peers.test.ts
+++ b/packages/entry/tests/real/peers.test.ts
@@ -31,6 +31,7 @@
   const target = `http://${entry.addresses.peer}/v1/forward/token/a?b=1`
   const accepted = await fetch(target, { headers: { ...peerHeaders('peer-token'), 'x-request-id': 'f1' } })
   expect([accepted.status, accepted.headers.get('x-request-id'), await accepted.text()]).toEqual([200, 'f1', '/a?b=1'])
+  expect(accepted.headers.get('arbutustray-headroom')).toMatch(/^free=\d+, slots=9, queued=0$/)
   for (const token of ['', 'peer-tokem', 'peer-token-and-more']) {
     expect((await fetch(target, { headers: peerHeaders(token) })).status).toBe(401)
   }
@@ -71,6 +72,8 @@
     expect([response.status, response.headers.get('arbutustray-reason'), response.headers.get('x-request-id')])
       .toEqual([200, 'moved-zone', 'mine'])
     expect([response.headers.get('x-balance'), await response.text()]).toEqual(['3', 'from zagreb-1'])
+    // Meant for the forwarding instance; a caller must not see the state of a zone.
+    expect(response.headers.get('arbutustray-headroom')).toBe(null)
   }, { timeout: 5_000, interval: 200 })
 })
 
