--- a/packages/cli/src/create-cli.ts
+++ b/packages/cli/src/create-cli.ts
@@ -3,6 +3,7 @@
  */
 import { Builtins, Cli } from 'clipanion'
 import { ApplyCommand } from './commands/apply.js'
+import { ChangesCommand } from './commands/changes.js'
 import { CheckCommand } from './commands/check.js'
 import { ConfirmCommand } from './commands/confirm.js'
 import { DrainCommand, UndrainCommand } from './commands/drain.js'
@@ -13,7 +14,7 @@
 
 const COMMANDS = [
   ApplyCommand, PlanCommand, ConfirmCommand, DrainCommand, UndrainCommand, StatusCommand, CheckCommand, ExplainCommand,
-  LookupCommand
+  ChangesCommand, LookupCommand
 ]
 
 /** Creates the command line without running it. */
--- a/packages/cli/tests/real/cli.test.ts
+++ b/packages/cli/tests/real/cli.test.ts
@@ -126,6 +126,16 @@
     expect(received).toEqual([])
   })
 
+  it('shows who changed what and why, guarding against changes that an auditor cannot trace', async () => {
+    const change = { version: 4, changeId: 'c4', actor: 'ana', reason: 'disk replacement', at: 0, operations: plan.operations }
+    answers['GET /v1/changes'] = [200, [change, { ...change, version: 5, operations: [{ table: 'drains', remove: 'upstream:u1' }] }]]
+    const { code, stdout } = await run('changes')
+    expect(code).toBe(EXIT.ok)
+    for (const part of ['ana', 'disk replacement', '1970-01-01T00:00:00.000Z', 'put drains upstream:u1', 'remove drains upstream:u1']) {
+      expect(stdout).toContain(part)
+    }
+  })
+
   it('explains a request in words', async () => {
     answers['GET /v1/explain?request=q1'] = [200, {
       requestId: 'q1', at: 0, service: 'token', originZone: 'z1', configurationVersion: 3, outcome: 'not-run', reason: 'shift-cap', attempts: []
