--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -12,8 +12,8 @@
   json = Option.Boolean('--json', false, { description: 'Print one JSON object and nothing else on standard output.' })
 
   async execute (): Promise<number> {
-    const { costs, table } = measureBlocks()
-    const slopes = { blocks: costs, sites: measureSites(), peers: measurePeers(table) }
+    const { costs, table } = await measureBlocks()
+    const slopes = { blocks: costs, sites: await measureSites(), peers: await measurePeers(table) }
     const capacity = workOutCapacity(slopes)
     const text = this.json
       ? JSON.stringify({ ...slopes, capacity })
--- a/packages/bench/src/slopes/measure.ts
+++ b/packages/bench/src/slopes/measure.ts
@@ -1,6 +1,7 @@
 /**
  * Memory and processor time of small pieces of work in this process.
  */
+import { setTimeout as sleep } from 'node:timers/promises'
 
 /** A cost per unit, from the least squares line through the points. */
 export interface Slope {
@@ -15,17 +16,22 @@
 
 const MICROSECONDS_PER_MS = 1_000
 
+/** Buffers that were collected are counted until a background sweep, and the next collection, have freed them. */
+const SWEEP_MS = 200
+
 /** Bytes that `create` keeps alive: heap and typed arrays. Needs `node --expose-gc`. */
-export function retainedBytes<T> (create: () => T): { readonly value: T, readonly bytes: number } {
-  const before = usedBytes()
+export async function retainedBytes<T> (create: () => T): Promise<{ readonly value: T, readonly bytes: number }> {
+  const before = await usedBytes()
   const value = create()
-  return { value, bytes: usedBytes() - before }
+  return { value, bytes: await usedBytes() - before }
 }
 
-function usedBytes (): number {
+async function usedBytes (): Promise<number> {
   if (globalThis.gc === undefined) throw new Error('memory is measured with node --expose-gc')
-  globalThis.gc()
-  globalThis.gc()
+  for (let pass = 0; pass < 2; pass += 1) {
+    globalThis.gc()
+    await sleep(SWEEP_MS)
+  }
   const { heapUsed, arrayBuffers } = process.memoryUsage()
   return heapUsed + arrayBuffers
 }
--- a/packages/bench/src/slopes/slopes.ts
+++ b/packages/bench/src/slopes/slopes.ts
@@ -1,7 +1,7 @@
 /**
  * Costs of an entry instance's state against its size: client blocks, sites, peers and changes.
  */
-import type { Change, Configuration, Heartbeat, ListedInstance } from '@arbutustray/core'
+import type { BlockTable, Change, Configuration, Heartbeat, ListedInstance } from '@arbutustray/core'
 import type { Point, Slope } from './measure.js'
 import { create, toBinary } from '@bufbuild/protobuf'
 import {
@@ -23,6 +23,9 @@
 export interface BlockCosts {
   readonly bytesPerClientBlock: number
   readonly tableBytes: number
+  /** Adding the blocks, which can be spread over many steps of the loop. */
+  readonly addMs: number
+  /** The last step, which blocks the loop. */
   readonly buildMs: number
   /** Searches of the table a second on one core. */
   readonly findsPerSecond: number
@@ -53,23 +56,28 @@
 const SELF = { id: 'entry-0', zone: 'zone-0', address: '10.0.0.1:8080', peerAddress: '10.0.0.1:8081', incarnation: 'a1b2c3d4' }
 
 /** Builds the table of all client blocks and searches it. */
-export function measureBlocks (): { readonly costs: BlockCosts, readonly table: ReturnType<ReturnType<typeof createBlockTableBuilder>['build']> } {
+export async function measureBlocks (): Promise<{ readonly costs: BlockCosts, readonly table: BlockTable }> {
   const random = createRandom(SEED)
   const startedAt = performance.now()
-  const { value: table, bytes } = retainedBytes(() => {
+  let addedAt = startedAt
+  let buildMs = 0
+  const { value: table, bytes } = await retainedBytes(() => {
     const builder = createBlockTableBuilder()
     for (let index = 0; index < DESIGN_SIZE.clientBlocks; index += 1) {
       builder.add(createSampleBlock(random), { zone: `zone-${index % DESIGN_SIZE.zones}`, tenant: `tenant-${index % 40}` })
     }
-    return builder.build()
+    addedAt = performance.now()
+    const built = builder.build()
+    buildMs = performance.now() - addedAt
+    return built
   })
-  const buildMs = performance.now() - startedAt
   const clients = Array.from({ length: 4_096 }, () => createSampleBlock(random).replace('.0/24', '.7'))
   const find = microsecondsPerCall(index => { table.find(clients[index % clients.length]!) })
   return {
     costs: {
       bytesPerClientBlock: bytes / DESIGN_SIZE.clientBlocks,
       tableBytes: table.bytes,
+      addMs: addedAt - startedAt,
       buildMs,
       findsPerSecond: 1e6 / find
     },
@@ -96,14 +104,22 @@
   })
 }
 
+interface SiteRow {
+  readonly units: number
+  readonly wire: number
+  readonly bytes: number
+  readonly apply: number
+}
+
 /** Costs against the number of sites. */
-export function measureSites (): SiteCosts {
+export async function measureSites (): Promise<SiteCosts> {
   const sizes = FRACTIONS.map(fraction => Math.round(fraction * DESIGN_SIZE.sites))
-  const measured = sizes.map(units => {
-    const { value, bytes } = retainedBytes(() => createSampleConfiguration(units))
-    return { units, wire: JSON.stringify(value).length, bytes, apply: measureApply(value) }
-  })
-  const slope = (read: (row: typeof measured[number]) => number): Slope =>
+  const measured: SiteRow[] = []
+  for (const units of sizes) {
+    const { value, bytes } = await retainedBytes(() => createSampleConfiguration(units))
+    measured.push({ units, wire: JSON.stringify(value).length, bytes, apply: measureApply(value) })
+  }
+  const slope = (read: (row: SiteRow) => number): Slope =>
     fitSlope(measured.map((row): Point => ({ units: row.units, cost: read(row) })))
   return {
     wireBytes: slope(row => row.wire),
@@ -150,9 +166,9 @@
   readonly lookup: number
 }
 
-function measurePeerRow (units: number, configuration: Configuration, table: ReturnType<typeof measureBlocks>['table']): PeerRow {
+async function measurePeerRow (units: number, configuration: Configuration, table: BlockTable): Promise<PeerRow> {
   const entries = createSampleList(units)
-  const { value, bytes } = retainedBytes(() => {
+  const { value, bytes } = await retainedBytes(() => {
     const world = createWorld(SELF)
     const membership = createMembershipSystem(world)
     world.configuration = configuration
@@ -191,9 +207,12 @@
 }
 
 /** Costs against the number of entry instances. */
-export function measurePeers (table: ReturnType<typeof measureBlocks>['table']): PeerCosts {
+export async function measurePeers (table: BlockTable): Promise<PeerCosts> {
   const configuration = createSampleConfiguration(DESIGN_SIZE.sites)
-  const rows = FRACTIONS.map(fraction => measurePeerRow(Math.round(fraction * DESIGN_SIZE.instances), configuration, table))
+  const rows: PeerRow[] = []
+  for (const fraction of FRACTIONS) {
+    rows.push(await measurePeerRow(Math.round(fraction * DESIGN_SIZE.instances), configuration, table))
+  }
   const slope = (read: (row: PeerRow) => number): Slope => fitSlope(rows.map(row => ({ units: row.units, cost: read(row) })))
   return {
     heapBytes: slope(row => row.bytes),
--- a/packages/core/src/lookup/block-table.ts
+++ b/packages/core/src/lookup/block-table.ts
@@ -101,22 +101,29 @@
     const ranges4 = flatten(unpack(packed4.slice(0, size4).sort()), createRanges(new Uint32Array(size4 * 2), 2 ** 32), endOf4)
     const sorted6 = blocks6.sort((a, b) => (a.start === b.start ? a.prefix - b.prefix || a.owner - b.owner : a.start < b.start ? -1 : 1))
     const ranges6 = flatten(sorted6, createRanges(new BigUint64Array(sorted6.length * 2), 1n << 64n), endOf6)
-    return {
-      find: text => {
-        const address = parseAddress(text)
-        if (address === undefined) return undefined
-        const owner = ownerAt(address.family === 4 ? ranges4 : ranges6, address.value)
-        return owner === 0 ? undefined : origins[owner]
-      },
-      size: size4 + blocks6.length,
-      ranges: ranges4.owners.length + ranges6.owners.length,
-      bytes: [ranges4, ranges6].reduce((sum, { starts, owners }) => sum + starts.byteLength + owners.byteLength, 0)
-    }
+    return createTable(ranges4, ranges6, origins, size4 + blocks6.length)
   }
 
   return { add, build }
 }
 
+/** A function of its own, so that the table's closures don't keep the builder's arrays in memory. */
+function createTable (
+  ranges4: Ranges, ranges6: Ranges, origins: readonly Origin[], size: number
+): BlockTable {
+  return {
+    find: text => {
+      const address = parseAddress(text)
+      if (address === undefined) return undefined
+      const owner = ownerAt(address.family === 4 ? ranges4 : ranges6, address.value)
+      return owner === 0 ? undefined : origins[owner]
+    },
+    size,
+    ranges: ranges4.owners.length + ranges6.owners.length,
+    bytes: [ranges4, ranges6].reduce((sum, { starts, owners }) => sum + starts.byteLength + owners.byteLength, 0)
+  }
+}
+
 function * unpack (sorted: Float64Array): Generator<OwnedBlock<number>> {
   for (const packed of sorted) {
     const key = Math.floor(packed / OWNER_RANGE)
--- a/packages/core/src/membership/leaving-marks.ts
+++ b/packages/core/src/membership/leaving-marks.ts
@@ -43,7 +43,7 @@
         .sort(([, a], [, b]) => b.markedAt - a.markedAt)
         .map(([id]) => id)
       if (ids.length <= MAX_MARKS) return ids
-      // The newest half is sent always, because it may be news to the receiver.
+      // The newest half is sent always, because the receiver may not know it yet.
       const newest = ids.slice(0, MAX_MARKS / 2)
       return [...newest, ...takeTurns(ids.slice(MAX_MARKS / 2), MAX_MARKS / 2, round)]
     },
--- a/packages/core/src/membership/membership-system.ts
+++ b/packages/core/src/membership/membership-system.ts
@@ -17,7 +17,7 @@
  * A new leaving mark is sent after this time instead of with the next heartbeat, so that it crosses a zone of several
  * hops within 3 s. Marks that arrive together share one heartbeat.
  */
-export const NEWS_DELAY_MS = 100
+export const ANNOUNCEMENT_DELAY_MS = 100
 /** How often silence is looked for. It bounds the cost at thousands of instances and the delay of a silent mark. */
 export const EXPIRE_PERIOD_MS = 100
 /** Bounds the size of a heartbeat. */
@@ -53,12 +53,12 @@
   let round = 0
   let heartbeatAt = -Infinity
   let expireAt = -Infinity
-  let newsAt = Infinity
+  let announceAt = Infinity
   let hasList = false
   let listAskedAt = -Infinity
 
   function announce (zone: string | undefined, now: number): void {
-    if (zone === self.zone) newsAt = Math.min(newsAt, now + NEWS_DELAY_MS)
+    if (zone === self.zone) announceAt = Math.min(announceAt, now + ANNOUNCEMENT_DELAY_MS)
   }
 
   function mark (id: string, zone: string | undefined, now: number): void {
@@ -110,8 +110,8 @@
       expireAt = now + EXPIRE_PERIOD_MS
       instances.expire(now)
     }
-    if (now < Math.min(heartbeatAt, newsAt)) return []
-    newsAt = Infinity
+    if (now < Math.min(heartbeatAt, announceAt)) return []
+    announceAt = Infinity
     if (now >= heartbeatAt) {
       round += 1
       // Heartbeats missed in a pause are not made up for.
@@ -140,7 +140,7 @@
     // An empty list is a fault of the platform: at least this instance is live.
     if (entries.length === 0) return []
     hasList = true
-    // The first peers are greeted with the next tick.
+    // The first heartbeats go out with the next tick.
     if (world.instances.size === 0) heartbeatAt = -Infinity
     instances.receiveList(entries, now)
     for (const id of unreachable) if (!world.instances.has(id)) unreachable.delete(id)
@@ -178,7 +178,7 @@
       'attempt-refused': markTarget,
       'configuration-received': receiveConfiguration,
       'stop-requested': (_event, now) => {
-        newsAt = Math.min(newsAt, now)
+        announceAt = Math.min(announceAt, now)
         return []
       }
     }
--- a/packages/core/src/membership/peer-choice.ts
+++ b/packages/core/src/membership/peer-choice.ts
@@ -1,7 +1,7 @@
 /**
  * Whom an instance sends its heartbeats to. The number is bounded, so the traffic for control does not grow with the
- * fleet; most peers stay the same, so that silence means something, and one of each group takes turns, so that news
- * crosses the fleet.
+ * fleet; most peers stay the same, so that silence is significant, and one of each group takes turns, so that changes
+ * reach the whole fleet.
  */
 import type { Instance, World } from '../tables.js'
 import { regionOf } from '../configuration/traffic.js'
