Install the signal handlers before the daemon starts

Cause: a SIGTERM between the first log line and the end of the start ended the process without a planned stop; the test of the exit status failed once in three runs of test:processes, with the exit code null. Ruled out: a slow machine alone, because the handlers were installed after the ports were open.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -29,16 +29,17 @@
 }
 
 async function run (): Promise<void> {
-  const entry = await startEntry(loadSettings(process.argv[2]))
+  const started = startEntry(loadSettings(process.argv[2]))
   let stopping = false
   const stop = (): void => {
     if (stopping) return
     stopping = true
-    entry.stop().then(() => process.exit(0), error => fail(EXIT_FAULT, String(error)))
+    started.then(async entry => await entry.stop()).then(() => process.exit(0), error => fail(EXIT_FAULT, String(error)))
   }
+  // Before the start is complete: a signal in between would end the process without a planned stop.
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
-  await entry.failed
+  await (await started).failed
 }
 
 run().catch(error => fail(EXIT_FAULT, String(error)))
