Add a randomized fault soak of the real programs

Cause: faults were played only by the users' bench and by tests with one fault in one process; nothing of the project's own ran the programs as processes under overlapping faults.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -18,7 +18,7 @@
         ssr,
         test: {
           name: 'unit',
-          include: ['{packages/*,platform}/tests/**/*.test.ts'],
+          include: ['{packages/*,platform,platform/soak}/tests/**/*.test.ts'],
           exclude: ['**/tests/real/**', '**/tests/processes/**', '**/node_modules/**'],
           setupFiles: ['./scripts/paused-clock.ts', './scripts/fixed-seed.ts']
         }
@@ -28,7 +28,7 @@
         ssr,
         test: {
           name: 'real',
-          include: ['{packages/*,platform}/tests/real/**/*.test.ts'],
+          include: ['{packages/*,platform,platform/soak}/tests/real/**/*.test.ts'],
           setupFiles: ['./scripts/fixed-seed.ts'],
           testTimeout: 20_000
         }
@@ -38,7 +38,7 @@
         ssr,
         test: {
           name: 'processes',
-          include: ['{packages/*,platform}/tests/processes/**/*.test.ts'],
+          include: ['{packages/*,platform,platform/soak}/tests/processes/**/*.test.ts'],
           setupFiles: ['./scripts/fixed-seed.ts'],
           fileParallelism: false,
           testTimeout: 60_000,
