Take the changes of one reply of the store at the reply's revision

Cause: a removed object may bear the revision of an earlier change, and was then counted as made right after the last known one, too low. An instance that had read a part of the reply was not given the removal by the others and kept the upstream.

--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -17,6 +17,7 @@
 
 /** One change; without an entry the name was removed. */
 export interface KnowledgeChange<K extends KnowledgeKind> {
+  /** The change had happened by this revision; a state of this revision or a newer one holds it. */
   readonly revision: number
   readonly name: string
   readonly entry?: KnowledgeEntry[K]
@@ -39,8 +40,8 @@
 export interface Knowledge {
   /** Takes a whole state. Returns false if it is not newer. */
   readonly replace: <K extends KnowledgeKind>(kind: K, revision: number, entries: ReadonlyArray<readonly [string, KnowledgeEntry[K]]>, afterOutage: boolean) => boolean
-  /** Takes one change; without an entry the name was removed. */
-  readonly change: <K extends KnowledgeKind>(kind: K, revision: number, name: string, entry: KnowledgeEntry[K] | undefined, afterOutage: boolean) => void
+  /** Takes changes, one for each name, with which the kind has reached a revision. Those that are not newer are left out. */
+  readonly change: <K extends KnowledgeKind>(kind: K, revision: number, changes: ReadonlyArray<KnowledgeChange<K>>) => void
   readonly revisions: () => Revisions
   /** What is newer than a revision. */
   readonly excerpt: <K extends KnowledgeKind>(kind: K, after: number) => Excerpt<K>
@@ -66,7 +67,7 @@
   /** Revision after which `changes` is complete. */
   completeAfter: number
   readonly entries: Map<string, unknown>
-  readonly changes: Array<{ readonly revision: number, readonly name: string, readonly entry?: unknown, readonly afterOutage: boolean }>
+  readonly changes: Array<KnowledgeChange<KnowledgeKind>>
   /** Whether the newest list may lack entries. */
   afterOutage: boolean
 }
@@ -83,6 +84,17 @@
     instances: () => onInstances(entriesOf('instances'))
   }
 
+  function apply (kind: KnowledgeKind, table: Table, change: KnowledgeChange<KnowledgeKind>): void {
+    const { revision, name, entry, afterOutage } = change
+    table.changes.push(change)
+    if (table.changes.length > KEPT_CHANGES) table.completeAfter = table.changes.shift()?.revision ?? revision
+    if (entry === undefined) table.entries.delete(name)
+    else table.entries.set(name, entry)
+    if (kind !== 'upstreams') return
+    const changed = entry as UpstreamEntry | undefined
+    emit({ type: 'upstream-changed', id: name, ...(changed === undefined ? {} : { entry: changed }), afterOutage })
+  }
+
   const knowledge: Knowledge = {
     replace: (kind, revision, entries, afterOutage) => {
       const table = tableOf(kind)
@@ -95,17 +107,13 @@
       publishers[kind](afterOutage)
       return true
     },
-    change: (kind, revision, name, entry, afterOutage) => {
+    change: (kind, revision, changes) => {
       const table = tableOf(kind)
+      const newer = changes.filter(change => change.revision > table.revision)
       if (revision <= table.revision) return
       table.revision = revision
-      table.changes.push({ revision, name, afterOutage, ...(entry === undefined ? {} : { entry }) })
-      if (table.changes.length > KEPT_CHANGES) table.completeAfter = table.changes.shift()?.revision ?? revision
-      if (entry === undefined) table.entries.delete(name)
-      else table.entries.set(name, entry)
-      if (kind !== 'upstreams') return publishers[kind](afterOutage)
-      const changed = entry as UpstreamEntry | undefined
-      emit({ type: 'upstream-changed', id: name, ...(changed === undefined ? {} : { entry: changed }), afterOutage })
+      for (const change of newer) apply(kind, table, change)
+      if (kind !== 'upstreams' && newer.length > 0) publishers[kind](newer.some(({ afterOutage }) => afterOutage))
     },
     revisions: () => Object.fromEntries(KNOWLEDGE_KINDS.map(kind => [kind, tableOf(kind).revision])) as unknown as Revisions,
     excerpt: <K extends KnowledgeKind>(kind: K, after: number) => {
@@ -117,7 +125,7 @@
     },
     adopt: (kind, { revision, changes, entries, afterOutage }) => {
       if (revision <= tableOf(kind).revision) return false
-      changes?.forEach(change => knowledge.change(kind, change.revision, change.name, change.entry, change.afterOutage))
+      if (changes !== undefined) knowledge.change(kind, revision, changes)
       if (entries !== undefined) knowledge.replace(kind, revision, entries, afterOutage)
       return true
     },
--- a/packages/gateway/tests/knowledge.test.ts
+++ b/packages/gateway/tests/knowledge.test.ts
@@ -15,7 +15,7 @@
   const { knowledge, events } = create()
   knowledge.replace('upstreams', 10, [['a', entry('a')]], false)
   expect(knowledge.replace('upstreams', 9, [], false)).toBe(false)
-  knowledge.change('upstreams', 10, 'a', undefined, false)
+  knowledge.change('upstreams', 10, [{ revision: 10, name: 'a', afterOutage: false }])
   expect(events).toHaveLength(1)
 })
 
@@ -26,7 +26,7 @@
     const follower = create().knowledge
     reader.replace('upstreams', 1, [['a', entry('a')]], false)
     changes.forEach(({ name, removed, follows }, index) => {
-      reader.change('upstreams', index + 2, name, removed ? undefined : entry(name), false)
+      reader.change('upstreams', index + 2, [{ revision: index + 2, name, afterOutage: false, ...(removed ? {} : { entry: entry(name) }) }])
       if (follows) follower.adopt('upstreams', reader.excerpt('upstreams', follower.revisions().upstreams))
     })
     follower.adopt('upstreams', reader.excerpt('upstreams', follower.revisions().upstreams))
@@ -40,7 +40,7 @@
   const { knowledge: follower, events } = create()
   reader.replace('upstreams', 1, [['a', entry('a')]], false)
   follower.adopt('upstreams', reader.excerpt('upstreams', -1))
-  reader.change('upstreams', 2, 'a', undefined, true)
+  reader.change('upstreams', 2, [{ revision: 2, name: 'a', afterOutage: true }])
   follower.adopt('upstreams', reader.excerpt('upstreams', 1))
   expect(events.at(-1)).toEqual({ type: 'upstream-changed', id: 'a', afterOutage: true })
 })
