--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,7 @@
   'upstream-restored': logUpstream,
   'upstream-removed': logUpstream,
   'upstream-added': logUpstream,
+  'upstream-draining': logUpstream,
   deployment: (log, { id, detail }) => log('deployment-in-force', { version: id, detail }),
   evacuation: (log, { id, detail }) => log('zone-evacuation', { zone: id, detail })
 }
--- a/packages/steering/src/command.ts
+++ b/packages/steering/src/command.ts
@@ -70,7 +70,7 @@
 /** A belief of the engine changed; for the log. */
 export interface Note {
   readonly type: 'note'
-  readonly subject: 'upstream-suspect' | 'upstream-restored' | 'upstream-removed' | 'upstream-added' | 'deployment' | 'evacuation'
+  readonly subject: 'upstream-suspect' | 'upstream-restored' | 'upstream-removed' | 'upstream-added' | 'upstream-draining' | 'deployment' | 'evacuation'
   readonly id: string
   readonly detail: string
 }
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -87,7 +87,11 @@
   const life = createRequestLife({ upstreams, placement, cold, retries, distance, findRoute: (host, path) => routes?.find(host, path), isUrgent })
 
   function put (entry: UpstreamEntry, now: number): readonly SteeringCommand[] {
+    const wasDraining = upstreams.get(entry.id)?.entry.state === 'draining'
     const isNew = upstreams.put(entry, now)
+    if (!isNew && entry.state === 'draining' && !wasDraining) {
+      return [{ type: 'note', subject: 'upstream-draining', id: entry.id, detail: `${entry.service} ${entry.zone}` }]
+    }
     if (!isNew) return NOTHING
     return [{ type: 'note', subject: 'upstream-added', id: entry.id, detail: `${entry.service} ${entry.zone} cold ${entry.coldMs} ms` }]
   }
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -158,7 +158,7 @@
   'view-adopted': {
     number: 4103,
     level: 'info',
-    message: '{kind} of revision {revision} taken from instance {peerId}, because the store does not answer',
+    message: '{kind} of revision {revision} taken from instance {peerId}',
     fields: ['kind', 'revision', 'peerId']
   },
   'configuration-adopted': {
@@ -206,6 +206,12 @@
     message: 'configuration version {version} is in force',
     fields: ['version', 'detail']
   },
+  'store-reading': {
+    number: 5106,
+    level: 'info',
+    message: 'reading of {kind} from the store {state}, at revision {revision}',
+    fields: ['kind', 'state', 'revision']
+  },
   'change-confirmed': {
     number: 6001,
     level: 'info',
