Count requests that wait for their turn as in flight at a planned stop

Cause: found on reading the diff. The intake queue held requests that the stop's schedule did not count, so a process could end between reading a request and handling it. Ruled out as harmless: a saturated instance lets them wait for many turns. Change: in flight is what has no answer and what waits.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -31,6 +31,8 @@
   readonly listener: HttpListener
   readonly relay: (command: Relay) => void
   readonly respond: (command: Respond) => void
+  /** Requests that were read and have not been answered, those that wait for their turn included. */
+  readonly inFlight: () => number
   /** Takes over the limits of a new deployment. */
   readonly applyLimits: (limits: CallerLimits) => void
 }
@@ -185,6 +187,7 @@
 
   return {
     listener,
+    inFlight: () => exchanges.size + intake.size(),
     relay: ({ requestId, attemptId, route }) => {
       const exchange = exchanges.get(requestId)
       const answer = exchange?.answers.get(attemptId)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -90,7 +90,7 @@
   let isStopping = false
   let isReady = false
   const accepts = (): boolean => isReady && !isStopping
-  const phase = (): ReturnType<typeof schedule.phase> => schedule.phase(performance.now(), exchanges.size)
+  const phase = (): ReturnType<typeof schedule.phase> => schedule.phase(performance.now(), callers.inFlight())
 
   const waiting: SteeringEvent[] = []
   let isBusy = false
@@ -199,7 +199,7 @@
   async function stop (onStopped?: () => void): Promise<void> {
     isStopping = true
     schedule.begin(performance.now())
-    bounded.log('gateway-stopping', { pending: exchanges.size })
+    bounded.log('gateway-stopping', { pending: callers.inFlight() })
     await new Promise<void>(resolve => {
       let isAccepting = true
       const check = setInterval(() => {
@@ -214,7 +214,7 @@
       }, STOP_CHECK_MS)
     })
     clearInterval(timer)
-    bounded.log('gateway-stopped', { pending: exchanges.size })
+    bounded.log('gateway-stopped', { pending: callers.inFlight() })
     onStopped?.()
     bounded.close()
     for (const [, listener] of listeners) listener.stopAccepting()
