--- a/packages/standins/src/demo/children.ts
+++ b/packages/standins/src/demo/children.ts
@@ -5,6 +5,7 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
+import { endWithProcess } from '../end-with-process.js'
 
 /** A running child. */
 export interface Child {
@@ -84,8 +85,7 @@
     for (const { process: child } of children) if (child.exitCode === null) child.kill('SIGKILL')
   }
 
-  process.once('exit', killAll)
-  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) process.once(signal, () => process.exit(1))
+  endWithProcess(killAll)
   return {
     start,
     stop: async (stopped, limitMs) => await Promise.all(stopped.map(async child => await stopOne(child, limitMs))),
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './end-with-process.js'
 export * from './platform/start-platform.js'
 export * from './upstream/run-log.js'
 export * from './upstream/start-upstream.js'
