Bound the polls between instances, and survive malformed input

Cause: each instance polled up to 40 others a second. An instance now polls at most 10 neighbours of its region, its sources and 2 others in turn; replies pass on who was seen when, and a poll carries the state of its sender. Small regions (11 or fewer) are polled whole as before, with the same time until an instance is left out. Ruled out: a longer interval (later detection), one relay for each zone (a single process whose loss blinds a zone), UDP (a protocol of our own).

Malformed input. A request without a route is logged as not sent.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -15,9 +15,11 @@
 
   /**
    * `isCloseDelimited`: the answer has no stated length and ends when the connection closes. A truncated answer looks
-   * the same, so it is relayed without a length, too.
+   * the same, so it is relayed without a length, too. `onAbandoned`: the caller's connection closed before the end.
    */
-  constructor (readonly status: number, readonly headers: readonly string[], readonly isCloseDelimited: boolean) {}
+  constructor (
+    readonly status: number, readonly headers: readonly string[], readonly isCloseDelimited: boolean, readonly onAbandoned: () => void
+  ) {}
 
   /**
    * Adds a chunk. Returns false if reading should pause. While streaming, `onDrain` is called when it may resume; when
@@ -56,6 +58,7 @@
       if (!extraHeaders.includes('connection')) headers.push('connection', 'close')
     }
     if (!this.#complete) {
+      response.once('close', () => { if (!this.#complete) this.onAbandoned() })
       response.writeHead(this.status, headers)
       for (const chunk of this.#chunks) response.write(chunk)
       return
--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -30,6 +30,8 @@
 /** Maximum size of the body of an answer that refuses a request; it is read and discarded to keep the connection reusable. */
 const MAX_DISCARDED_BYTES = 65_536
 const MAX_SUCCESS_STATUS = 299
+/** Code of undici's error for a request that it can't write. */
+const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG'
 /** Statuses whose answers have no body. */
 const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304])
 
@@ -39,6 +41,9 @@
   #answer: Answer | undefined
   #load: LoadReport | undefined
   #isAnswerEmitted = false
+  /** The request's time was up before it was written. */
+  #isExpired = false
+  #streamTimer: NodeJS.Timeout | undefined
   /** The attempt was answered completely, refused, failed or cancelled. What remains of a refusal is read and discarded. */
   #ended = false
   #discardedBytes = 0
@@ -51,7 +56,10 @@
   onRequestStart (controller: Dispatcher.DispatchController): void {
     if (this.#ended) return controller.abort(new Error('cancelled'))
     // The process may have been paused while it connected; an expired request must not be sent.
-    if (performance.now() > this.#expiresAt) return controller.abort(new Error('expired before the write'))
+    if (performance.now() > this.#expiresAt) {
+      this.#isExpired = true
+      return controller.abort(new Error('expired before the write'))
+    }
     // undici writes a request again if its idle connection closes during the write; the first write may have arrived.
     if (this.#controller !== undefined) return controller.abort(new Error('second write'))
     this.#controller = controller
@@ -74,7 +82,7 @@
     }
     const hasKnownEnd = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || STATUSES_WITHOUT_BODY.has(status) ||
       exchange.request.method === 'HEAD'
-    this.#answer = new Answer(status, filterAnswerHeaders(headers), !hasKnownEnd)
+    this.#answer = new Answer(status, filterAnswerHeaders(headers), !hasKnownEnd, () => this.#abandon())
     exchange.answers.set(this.options.command.attemptId, this.#answer)
   }
 
@@ -90,6 +98,7 @@
       // `emit` normally calls `Answer.relay` synchronously, so the answer is streaming when the microtask resumes reading.
       controller.pause()
       this.#emitAnswered(answer)
+      this.#limitStream(answer)
       queueMicrotask(() => controller.resume())
     } else if (!mayReadMore) controller.pause()
   }
@@ -109,16 +118,31 @@
   onResponseError (_controller: Dispatcher.DispatchController | undefined, error: Error): void {
     if (this.#ended) return
     this.#answer?.fail()
-    if (this.#controller === undefined) return this.#emitRefused('unreachable', error.message)
     const code = (error as { readonly code?: unknown }).code
+    if (this.#controller === undefined) return this.#emitRefused(this.#isExpired ? 'unsent' : code === INVALID_REQUEST_CODE ? 'unsendable' : 'unreachable', error.message)
     this.#emitBroken(typeof code === 'string' && code.startsWith('HPE_') ? 'garbled' : 'reset', undefined, error.message)
   }
 
   /** Ends the attempt without an event. */
   cancel (): void {
+    this.#abort('cancelled')
+  }
+
+  /** The caller closed its connection during the answer, which would otherwise be read to its end, if it has one. */
+  #abandon (): void {
+    this.#abort('caller left during the answer')
+  }
+
+  /** Breaks off an answer that is still being sent when the caller's deadline passes. */
+  #limitStream (answer: Answer): void {
+    const { deadlineAt } = this.options.exchange
+    if (deadlineAt !== undefined) this.#streamTimer = setTimeout(() => answer.fail(), Math.max(0, deadlineAt - performance.now()))
+  }
+
+  #abort (detail: string): void {
     if (this.#ended) return
-    this.#end('cancelled', 'cancelled')
-    this.#controller?.abort(new Error('cancelled'))
+    this.#end('cancelled', detail)
+    this.#controller?.abort(new Error(detail))
   }
 
   #emitAnswered (answer: Answer): void {
@@ -147,6 +171,7 @@
 
   #end (end: AttemptEnd, detail: string): void {
     this.#ended = true
+    clearTimeout(this.#streamTimer)
     this.options.onEnd(end, detail)
   }
 }
--- a/packages/gateway/src/auxiliary-handlers.ts
+++ b/packages/gateway/src/auxiliary-handlers.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '@arbutustray/telemetry'
 import type { RequestListener } from 'node:http'
 import type { Dialect } from './dialect.js'
+import { parseTarget } from './request-target.js'
 
 /** Time that clients may cache a directory answer: about as long as it takes to detect a failed instance. */
 const DIRECTORY_TTL_MS = 2_000
@@ -18,13 +19,13 @@
   readonly metrics: Metrics
 }
 
-/** Serves a single path; other paths get 404. */
+/** Serves a single path; other paths get 404, and a target that is no path 400. */
 function servePath (path: string, handle: (query: URLSearchParams, response: Parameters<RequestListener>[1]) => void): RequestListener {
   return (request, response) => {
     request.resume()
-    const url = new URL(request.url ?? '/', 'http://localhost')
-    if (url.pathname === path) handle(url.searchParams, response)
-    else response.writeHead(404).end()
+    const url = parseTarget(request)
+    if (url?.pathname === path) handle(url.searchParams, response)
+    else response.writeHead(url === undefined ? 400 : 404).end()
   }
 }
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,6 +8,7 @@
 import type { HttpExchange } from './http-exchange.js'
 import type { HttpListener } from './http-listener.js'
 import { firstValue } from '@arbutustray/http'
+import { POSSIBLY_RUN } from '@arbutustray/steering'
 import { createHttpListener } from './http-listener.js'
 import { createIntakeQueue } from './intake-queue.js'
 import { filterRequestHeaders, parseWholeNumber } from './message-headers.js'
@@ -80,6 +81,7 @@
     const id = String(lastId)
     const { headers } = request
     const headerNames = dialect.headers
+    const deadlineMs = parseWholeNumber(firstValue(headers[headerNames.deadline]))
     const exchange: HttpExchange = {
       id,
       callerRequestId: firstValue(headers[headerNames.requestId]) ?? '',
@@ -88,6 +90,7 @@
       headers: filterRequestHeaders(request.rawHeaders, headers.connection, headerNames),
       body,
       receivedAt,
+      deadlineAt: deadlineMs === undefined ? undefined : receivedAt + deadlineMs,
       answers: new Map(),
       decisionLog: [],
       isSettled: false
@@ -100,7 +103,7 @@
       host: hostOf(headers.host),
       path: pathOf(request.url ?? '/'),
       objectKey: firstValue(headers[headerNames.objectKey]),
-      deadlineMs: parseWholeNumber(firstValue(headers[headerNames.deadline])),
+      deadlineMs,
       receivedAt
     })
   }
@@ -202,8 +205,8 @@
       if (exchange === undefined || exchange.isSettled) return
       exchange.isSettled = true
       const fields = { requestId: exchange.callerRequestId, status, reason, ...recordAnswer(exchange, route ?? UNKNOWN_ROUTE_LABEL, status, reason) }
-      if (retryAfterMs === undefined) telemetry.log('request-unanswered', fields)
-      else telemetry.log('request-refused', { ...fields, retryAfterMs: Math.round(retryAfterMs) })
+      if (retryAfterMs !== undefined) telemetry.log('request-refused', { ...fields, retryAfterMs: Math.round(retryAfterMs) })
+      else telemetry.log(POSSIBLY_RUN.has(reason) ? 'request-unanswered' : 'request-not-sent', fields)
       const retry = retryAfterMs === undefined ? [] : ['retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(2)]
       exchange.response.writeHead(status, [
         'content-length', '0', dialect.headers.requestId, exchange.callerRequestId, ...retry, ...connectionHeaders()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -228,6 +228,6 @@
     await Promise.all([peerSync.stop(), upstreamClient.close()])
   }
 
-  const shouldRead = (): boolean => shouldReadStore(self, directory.readerCandidates(performance.now()))
+  const shouldRead = (): boolean => shouldReadStore(self, directory.peerCandidates(performance.now()))
   return { replica, steering, self, log: rateLimitedLog.log, metrics, shouldRead, stop }
 }
--- a/packages/gateway/src/peer-sync.ts
+++ b/packages/gateway/src/peer-sync.ts
@@ -2,18 +2,24 @@
  * Polls the other instances and copies newer data from them, except for the kinds that this instance reads from the store
  * itself. The replies also update the directory: which instances are live and which of them read the store.
  */
-import type { InstanceDirectory, InstanceEntry, InstanceReport } from '@arbutustray/steering'
+import type { InstanceDirectory, InstanceEntry, InstanceReport, Sighting } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ReplicaUpdate, StoreReplica, ResourceKind, Revisions } from './store-replica.js'
-import { Agent, request } from 'undici'
+import { createPeerSelection } from '@arbutustray/steering'
+import { Agent } from 'undici'
 import { createConnector } from './connector.js'
+import { fetchJson } from './fetch-json.js'
+import { parseTarget } from './request-target.js'
+import { parseSighting, readSightings } from './sighting.js'
 import { RESOURCE_KINDS } from './store-replica.js'
 
 /** Reply of an instance to a poll: its own report and the revision of each kind in its replica. */
 export interface PeerState extends InstanceReport {
   readonly id: string
   readonly revisions: Revisions
+  /** Other live instances of its region and of the region that the poll names. */
+  readonly sightings: readonly Sighting[]
 }
 
 export interface PeerSyncOptions {
@@ -40,27 +46,25 @@
  * `SILENT_AFTER_MS` or, in another region, `DISTANT_SILENT_AFTER_MS`.
  */
 const POLL_TIMEOUT_MS = 900
-/** Each instance of another region is polled once in this many intervals; one that reads the store, in every interval. */
-const OTHER_REGION_POLL_INTERVALS = 4
-/** Peers polled in one interval; if more are due, they are polled in rotation. */
-const MAX_POLLS_PER_INTERVAL = 40
+/** Idle time after which a connection to a peer is closed; the peers keep theirs a little longer. */
+const KEEP_ALIVE_MS = 9 * POLL_INTERVAL_MS
+/** Maximum size of a reply; the registry of some thousand upstreams is about 1 MB. */
+const MAX_REPLY_BYTES = 64 * 1_048_576
+const MAX_LOGGED_CHARACTERS = 200
 const STATE_PATH = '/state'
 const EXCERPT_PATH = '/excerpt'
 
 export function startPeerSync (options: PeerSyncOptions): PeerSync {
   const { self, directory, replica, telemetry } = options
   const connector = createConnector(() => {})
-  const agent = new Agent({ connect: connector.open as never, keepAliveTimeout: 4 * POLL_INTERVAL_MS, headersTimeout: POLL_TIMEOUT_MS })
+  const agent = new Agent({ connect: connector.open as never, keepAliveTimeout: KEEP_ALIVE_MS })
+  const selection = createPeerSelection(self)
   /** Ids of peers, and addresses of seeds, whose last poll failed; each is logged once until it replies. */
   const failedPollTargets = new Set<string>()
   const fetchingKinds = new Set<ResourceKind>()
-  let nextPeer = 0
-  let intervalCount = 0
 
   async function get<T> (address: string, path: string): Promise<T> {
-    const { statusCode, body } = await request(`http://${address}${path}`, { dispatcher: agent, signal: AbortSignal.timeout(POLL_TIMEOUT_MS) })
-    if (statusCode !== 200) throw new Error(`status ${statusCode}`)
-    return await body.json() as T
+    return await fetchJson(agent, { origin: `http://${address}`, path, timeoutMs: POLL_TIMEOUT_MS, maxBytes: MAX_REPLY_BYTES }) as T
   }
 
   async function fetchUpdate (address: string, peerId: string, kind: ResourceKind): Promise<void> {
@@ -83,11 +87,16 @@
 
   async function pollPeer (address: string, id: string): Promise<void> {
     try {
-      const state = await get<PeerState>(address, STATE_PATH)
+      const askedAt = performance.now()
+      // The poll itself shows that this instance is live, so it carries its state.
+      const sender = encodeURIComponent(JSON.stringify(directory.ownSighting(options.report())))
+      const state = await get<PeerState>(address, `${STATE_PATH}?region=${encodeURIComponent(self.region)}&sender=${sender}`)
       directory.recordReport(state.id, state, performance.now())
+      directory.recordSightings(readSightings(state.sightings), askedAt)
       if (failedPollTargets.delete(id)) telemetry.log('peer-answers', { peerId: id })
       await Promise.all(findOutdatedKinds(state.revisions).map(async kind => await fetchUpdate(address, state.id, kind)))
     } catch (error) {
+      directory.recordFailure(id)
       if (failedPollTargets.has(id)) return
       failedPollTargets.add(id)
       telemetry.log('peer-silent', { peerId: id, error: String(error) })
@@ -100,22 +109,35 @@
       for (const seed of options.seeds) if (seed !== self.peerAddress) pollPeer(seed, seed).catch(() => {})
       return
     }
-    intervalCount += 1
-    const readerIds = new Set(directory.readerCandidates(performance.now()).filter(({ isReading }) => isReading).map(({ id }) => id))
-    const duePeers = peers.filter(({ id, region }, index) =>
-      region === self.region || readerIds.has(id) || (index + intervalCount) % OTHER_REGION_POLL_INTERVALS === 0)
-    for (let count = 0; count < Math.min(MAX_POLLS_PER_INTERVAL, duePeers.length); count += 1) {
-      const { id, peerAddress } = duePeers[nextPeer % duePeers.length]
-      nextPeer += 1
-      pollPeer(peerAddress, id).catch(() => {})
+    const addresses = new Map(peers.map(({ id, peerAddress }) => [id, peerAddress]))
+    for (const id of selection.next(directory.peerCandidates(performance.now()))) {
+      const address = addresses.get(id)
+      // `pollPeer` logs a failure itself.
+      if (address !== undefined) pollPeer(address, id).catch(() => {})
     }
   }
 
   const timer = setInterval(pollPeers, POLL_INTERVAL_MS)
   pollPeers()
 
+  /** Records the sender of a poll; returns whether it could be read. A poll of a client without a state names none. */
+  function recordSender (url: URL): boolean {
+    const text = url.searchParams.get('sender')
+    if (text === null) return true
+    const sender = parseSighting(text)
+    if (sender === undefined) {
+      telemetry.log('poll-unreadable', { sender: text.slice(0, MAX_LOGGED_CHARACTERS) })
+      return false
+    }
+    directory.recordSightings([sender], performance.now())
+    return true
+  }
+
   function createResponseBody (url: URL): unknown {
-    if (url.pathname === STATE_PATH) return { id: self.id, ...options.report(), revisions: replica.revisions() } satisfies PeerState
+    if (url.pathname === STATE_PATH) {
+      const sightings = directory.sightings([self.region, url.searchParams.get('region') ?? self.region], performance.now())
+      return { id: self.id, ...options.report(), revisions: replica.revisions(), sightings } satisfies PeerState
+    }
     const kind = RESOURCE_KINDS.find(name => name === url.searchParams.get('kind'))
     if (url.pathname !== EXCERPT_PATH || kind === undefined) return undefined
     return replica.updateSince(kind, Number(url.searchParams.get('after') ?? -1))
@@ -124,7 +146,12 @@
   return {
     handle: (incoming, response) => {
       incoming.resume()
-      const body = createResponseBody(new URL(incoming.url ?? '/', 'http://localhost'))
+      const url = parseTarget(incoming)
+      if (url === undefined || !recordSender(url)) {
+        response.writeHead(400).end()
+        return
+      }
+      const body = createResponseBody(url)
       if (body === undefined) response.writeHead(404).end()
       else response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body))
     },
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -102,7 +102,7 @@
     dispatch: command => {
       const exchange = exchanges.get(command.requestId)
       const { attemptId } = command
-      if (exchange === undefined) return emit({ type: 'attempt-refused', attemptId, cause: 'shed' })
+      if (exchange === undefined) return emit({ type: 'attempt-refused', attemptId, cause: 'unsent' })
       const { pool, connector } = getOrCreatePool(command.upstreamId, command.address, command.zone)
       const attempt = new AttemptHandler({
         command,
--- a/packages/gateway/tests/support.ts
+++ b/packages/gateway/tests/support.ts
@@ -1,7 +1,7 @@
 import type { Deployment, UpstreamEntry } from '@arbutustray/steering'
 import type { RequestListener, Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Dialect, GatewaySettings } from '../src/index.js'
+import type { Dialect, Gateway, GatewaySettings } from '../src/index.js'
 import { createServer } from 'node:http'
 import { startGateway } from '../src/index.js'
 
@@ -53,7 +53,14 @@
 }
 
 /** Starts a gateway with a replica that holds `DEPLOYMENT` and the upstreams. */
-export async function startTestGateway (upstreams: readonly UpstreamEntry[]): Promise<{ readonly origin: string, readonly stop: () => Promise<void> }> {
+export interface TestGateway {
+  readonly origin: string
+  readonly addresses: GatewaySettings['addresses']
+  readonly gateway: Gateway
+  readonly stop: () => Promise<void>
+}
+
+export async function startTestGateway (upstreams: readonly UpstreamEntry[], graceMs = 400): Promise<TestGateway> {
   const addresses = {
     caller: await freeAddress(), ready: await freeAddress(), directory: await freeAddress(), peer: await freeAddress(), metrics: await freeAddress()
   }
@@ -65,7 +72,7 @@
     addresses,
     linkMbps: 1_000,
     seeds: [],
-    graceMs: 400,
+    graceMs,
     maxTtlMs: 5_000,
     retries: { ratio: 0.2, extra: 50, windowMs: 10_000 },
     cold: { factor: 1.5, extra: 5 },
@@ -74,5 +81,5 @@
   const gateway = await startGateway({ settings, isCopiedFromPeers: () => false })
   gateway.replica.replace('deployment', 1, [['main', DEPLOYMENT]], false)
   gateway.replica.replace('upstreams', 1, upstreams.map(entry => [entry.id, entry]), false)
-  return { origin: `http://${addresses.caller}`, stop: async () => await gateway.stop() }
+  return { origin: `http://${addresses.caller}`, addresses, gateway, stop: async () => await gateway.stop() }
 }
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -29,11 +29,12 @@
   readonly type: 'attempt-refused'
   readonly attemptId: string
   /**
-   * `shed`: the upstream states that it did not run the request, or the caller's exchange ended before the attempt was
-   * sent. `misdirected`: another upstream has the address. `unreachable`: the attempt ended before the first byte was
-   * written, because the connection failed or the request expired.
+   * `shed`: the upstream states that it did not run the request. `misdirected`: another upstream has the address.
+   * `unreachable`: the connection failed before the first byte was written. `unsent`: the request's time was up, or its
+   * caller had left, before the first byte was written; the upstream has no part in it. `unsendable`: the request can't be
+   * written to any upstream, for example because of a duplicate header.
    */
-  readonly cause: 'shed' | 'misdirected' | 'unreachable'
+  readonly cause: 'shed' | 'misdirected' | 'unreachable' | 'unsent' | 'unsendable'
   readonly load?: LoadReport
 }
 
--- a/packages/steering/src/instance-directory.ts
+++ b/packages/steering/src/instance-directory.ts
@@ -1,8 +1,13 @@
 /**
  * Directory of the entry instances. It answers which instances a client should use: those that answered recently and
  * accept new callers, in the client's region and zone where possible.
+ *
+ * An instance polls only a part of the others. Each passes on which instances it has seen and how long ago, so that all
+ * learn of all with a delay that grows with the logarithm of the region's size.
  */
-import type { ReaderCandidate } from './store-readers.js'
+import type { PeerCandidate } from './peer-selection.js'
+import { hash32 } from '@arbutustray/core'
+import { MAX_NEIGHBOURS } from './peer-selection.js'
 
 /** An instance's registration in the store. */
 export interface InstanceEntry {
@@ -25,6 +30,15 @@
   readonly isReading: boolean
 }
 
+/** An instance's state, as another instance passes it on. */
+export interface Sighting extends InstanceReport {
+  readonly id: string
+  /** Hash of the address that answered: after a replacement, the same id has another address. */
+  readonly addressHash: number
+  /** Time since the instance answered, in milliseconds. */
+  readonly ageMs: number
+}
+
 export interface InstanceDirectory {
   readonly put: (entry: InstanceEntry) => void
   readonly remove: (id: string) => void
@@ -33,14 +47,29 @@
   readonly peers: () => readonly InstanceEntry[]
   /** Records the state that an instance reported. */
   readonly recordReport: (id: string, report: InstanceReport, now: number) => void
-  /** The other instances, for the selection of the store's readers. */
-  readonly readerCandidates: (now: number) => readonly ReaderCandidate[]
+  /** Records that a poll of the instance failed, which is not yet a reason to leave it out. */
+  readonly recordFailure: (id: string) => void
+  /** This instance's own state, to send with a poll. */
+  readonly ownSighting: (report: InstanceReport) => Sighting
+  /** The live instances of the regions, without this one, to pass on to another instance. */
+  readonly sightings: (regions: readonly string[], now: number) => readonly Sighting[]
+  /**
+   * Records what another instance passed on in answer to a poll that was sent at `askedAt`; sightings that are not newer
+   * than what is known are ignored.
+   */
+  readonly recordSightings: (sightings: readonly Sighting[], askedAt: number) => void
+  /** The other instances, for the selection of the store's readers and of the instances to poll. */
+  readonly peerCandidates: (now: number) => readonly PeerCandidate[]
   /** Caller addresses for a client, without the instances that do not answer or are stopping. */
   readonly addresses: (client: { readonly zone?: string, readonly region?: string }, now: number) => readonly string[]
 }
 
-/** Time without an answer after which an instance is left out, in milliseconds: two missed polls and a slow answer. */
+/**
+ * Time without an answer after which a polled instance is left out, in milliseconds: two missed polls and a slow answer.
+ */
 export const SILENT_AFTER_MS = 2_600
+/** Added for each instance that passes a sighting on, in milliseconds: one polling interval. */
+const HOP_MS = 1_000
 /** The same for instances of other regions, which are polled less often. */
 export const DISTANT_SILENT_AFTER_MS = 6_500
 /** Limit on the addresses in one answer. */
@@ -50,7 +79,13 @@
 /** Bandwidth relative to the widest link below which an instance is used only if there are too few others. */
 const MIN_LINK_RATIO = 0.25
 
-interface Row { readonly entry: InstanceEntry, answeredAt: number, accepts: boolean, isReading: boolean }
+interface Row { readonly entry: InstanceEntry, readonly addressHash: number, answeredAt: number, hasFailed: boolean, accepts: boolean, isReading: boolean }
+
+/** Time without a sighting after which an instance of a region with `members` instances is left out, in milliseconds. */
+export function silentAfterMs (members: number): number {
+  const hops = members <= MAX_NEIGHBOURS + 1 ? 0 : Math.ceil(Math.log(members) / Math.log(MAX_NEIGHBOURS)) - 1
+  return SILENT_AFTER_MS + hops * HOP_MS
+}
 
 /** Leaves out instances whose link would be saturated long before those of the others. */
 function withWideLinks (entries: readonly InstanceEntry[]): readonly InstanceEntry[] {
@@ -60,14 +95,23 @@
 }
 
 export function createInstanceDirectory (self: InstanceEntry, selfAccepts: () => boolean): InstanceDirectory {
-  const rows = new Map<string, Row>([[self.id, { entry: self, answeredAt: Infinity, accepts: true, isReading: false }]])
+  const rows = new Map<string, Row>([[self.id, { entry: self, addressHash: hash32(self.peerAddress), answeredAt: Infinity, hasFailed: false, accepts: true, isReading: false }]])
+  let ownRegionSilentAfterMs = silentAfterMs(1)
 
-  function silentAfterMs (entry: InstanceEntry): number {
-    return entry.region === self.region ? SILENT_AFTER_MS : DISTANT_SILENT_AFTER_MS
+  function countOwnRegion (): void {
+    ownRegionSilentAfterMs = silentAfterMs([...rows.values()].filter(({ entry }) => entry.region === self.region).length)
+  }
+
+  function isLive ({ entry, answeredAt }: Row, now: number): boolean {
+    return now - answeredAt < (entry.region === self.region ? ownRegionSilentAfterMs : DISTANT_SILENT_AFTER_MS)
   }
 
   function isUsable (row: Row, now: number): boolean {
-    return row.entry.id === self.id ? selfAccepts() : row.accepts && now - row.answeredAt < silentAfterMs(row.entry)
+    return row.entry.id === self.id ? selfAccepts() : row.accepts && isLive(row, now)
+  }
+
+  function others (): readonly Row[] {
+    return [...rows.values()].filter(({ entry }) => entry.id !== self.id)
   }
 
   return {
@@ -75,21 +119,49 @@
       if (entry.id === self.id) return
       const known = rows.get(entry.id)
       const sameAddress = known?.entry.peerAddress === entry.peerAddress
-      rows.set(entry.id, { entry, answeredAt: sameAddress ? known.answeredAt : -Infinity, accepts: sameAddress && known.accepts, isReading: sameAddress && known.isReading })
+      rows.set(entry.id, {
+        entry,
+        addressHash: hash32(entry.peerAddress),
+        answeredAt: sameAddress ? known.answeredAt : -Infinity,
+        hasFailed: sameAddress && known.hasFailed,
+        accepts: sameAddress && known.accepts,
+        isReading: sameAddress && known.isReading
+      })
+      countOwnRegion()
+    },
+    remove: id => {
+      if (id !== self.id) rows.delete(id)
+      countOwnRegion()
     },
-    remove: id => { if (id !== self.id) rows.delete(id) },
     ids: () => [...rows.keys()],
-    peers: () => [...rows.values()].filter(({ entry }) => entry.id !== self.id).map(({ entry }) => entry),
+    peers: () => others().map(({ entry }) => entry),
     recordReport: (id, { accepts, isReading }, now) => {
       const row = rows.get(id)
       if (row === undefined) return
       row.answeredAt = now
+      row.hasFailed = false
       row.accepts = accepts
       row.isReading = isReading
     },
-    readerCandidates: now => [...rows.values()].filter(({ entry }) => entry.id !== self.id).map(({ entry, answeredAt: seenAt, isReading }) => ({
-      id: entry.id, region: entry.region, isLive: now - seenAt < silentAfterMs(entry), isReading
-    })),
+    recordFailure: id => {
+      const row = rows.get(id)
+      if (row !== undefined) row.hasFailed = true
+    },
+    ownSighting: report => ({ id: self.id, addressHash: hash32(self.peerAddress), ageMs: 0, accepts: report.accepts, isReading: report.isReading }),
+    sightings: (regions, now) => others().filter(row => regions.includes(row.entry.region) && isLive(row, now))
+      .map(({ entry: { id }, addressHash, answeredAt, accepts, isReading }) => ({ id, addressHash, ageMs: Math.ceil(now - answeredAt), accepts, isReading })),
+    recordSightings: (sightings, askedAt) => {
+      for (const { id, addressHash, ageMs, accepts, isReading } of sightings) {
+        const row = rows.get(id)
+        // The age counts from before the answer was made, so a sighting never looks newer than it is.
+        if (row === undefined || id === self.id || row.addressHash !== addressHash || askedAt - ageMs <= row.answeredAt) continue
+        row.answeredAt = askedAt - ageMs
+        row.hasFailed = false
+        row.accepts = accepts
+        row.isReading = isReading
+      }
+    },
+    peerCandidates: now => others().map(row => ({ id: row.entry.id, region: row.entry.region, isLive: isLive(row, now), isReading: row.isReading, hasFailed: row.hasFailed })),
     addresses: ({ zone, region }, now) => {
       const live = [...rows.values()].filter(row => isUsable(row, now)).map(({ entry }) => entry)
       const inRegion = live.filter(entry => entry.region === region)
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -65,6 +65,13 @@
 /** Lowest HTTP status that counts as a failure of the upstream. */
 const MIN_ERROR_STATUS = 500
 
+/** Reason of the final answer if an attempt with the cause is not followed by another one. */
+const REFUSAL_AFTER: { readonly [C in AttemptRefused['cause']]: Refusal } = {
+  shed: 'shed', misdirected: 'no-upstream', unreachable: 'no-upstream', unsent: 'timeout-before-run', unsendable: 'unsendable'
+}
+/** Causes that show that the upstream answers. */
+const ANSWERED_CAUSES: ReadonlySet<AttemptRefused['cause']> = new Set(['shed', 'misdirected'])
+
 function basisOf ({ upstream, rank, load, loadAgeMs, slowdown, expectedMs }: Candidate): PlacementBasis {
   return { upstreamId: upstream.id, rank, load, loadAgeMs, slowdown, expectedMs }
 }
@@ -224,14 +231,15 @@
       if (upstream !== undefined) {
         if (event.load !== undefined) recordLoadReport(upstream, event.load, now)
         if (event.cause === 'unreachable') commands.push(...recordFailure(upstream, 'unreachable', now))
-        else resetFailureScore(upstream)
+        if (ANSWERED_CAUSES.has(event.cause)) resetFailureScore(upstream)
         if (event.cause === 'misdirected') {
           upstreams.remove(upstream.id)
           commands.push({ type: 'note', subject: 'upstream-removed', id: upstream.id, detail: 'another upstream has its address' })
         }
       }
       if (request === undefined || request.attempts.size > 0) return commands
-      return [...commands, ...retryOrFail(request, request.possibleRuns > 0 ? 'outcome-unknown' : event.cause === 'shed' ? 'shed' : 'no-upstream', now)]
+      if (event.cause === 'unsendable') return [...commands, ...finishWithFailure(request, 'unsendable')]
+      return [...commands, ...retryOrFail(request, request.possibleRuns > 0 ? 'outcome-unknown' : REFUSAL_AFTER[event.cause], now)]
     },
     onAttemptAnswered: (event, now) => {
       const ended = endAttempt(event.attemptId)
--- a/packages/steering/src/store-readers.ts
+++ b/packages/steering/src/store-readers.ts
@@ -4,23 +4,14 @@
  * grow with the number of instances, and other readers remain when a reader or a region fails. An instance that sees
  * too few readers reads the store itself.
  */
+import type { PeerCandidate } from './peer-selection.js'
 import { hash32 } from '@arbutustray/core'
 
-/** State of another instance, as this one knows it. */
-export interface ReaderCandidate {
-  readonly id: string
-  readonly region: string
-  /** The instance answered recently. */
-  readonly isLive: boolean
-  /** The instance reports that it reads the store successfully. */
-  readonly isReading: boolean
-}
-
 /** Readers that an instance must see to rely on them. A single one may have lost the store without noticing it. */
 const MIN_READERS = 2
 
 /** Whether this instance should read the store. */
-export function shouldReadStore (self: { readonly id: string, readonly region: string }, others: readonly ReaderCandidate[]): boolean {
+export function shouldReadStore (self: { readonly id: string, readonly region: string }, others: readonly PeerCandidate[]): boolean {
   const readers = others.filter(({ isLive, isReading }) => isLive && isReading)
   if (readers.length < Math.min(MIN_READERS, others.length)) return true
   if (readers.length === 0) return true
--- /dev/null
+++ b/packages/steering/tests/refusal.test.ts
@@ -0,0 +1,48 @@
+/**
+ * Guards against a log line that says that a request may have run although it was never sent, or the opposite.
+ */
+import type { SteeringCommand } from '../src/index.js'
+import { expect, it } from 'vitest'
+import { POSSIBLY_RUN, REFUSAL_STATUS } from '../src/index.js'
+import { arrival, startSteering, upstreamEntry } from './fixtures.js'
+
+/** Statuses after which a request may have run. */
+const PROMISE_NOTHING = [502, 504]
+
+function reasonOf (commands: readonly SteeringCommand[]): string | undefined {
+  return commands.flatMap(command => command.type === 'respond' ? [command.reason] : [])[0]
+}
+
+it('lists as possibly run exactly the reasons whose status promises nothing', () => {
+  for (const [reason, status] of Object.entries(REFUSAL_STATUS)) {
+    expect([reason, [...POSSIBLY_RUN].some(possible => possible === reason)]).toEqual([reason, PROMISE_NOTHING.includes(status)])
+  }
+})
+
+it('counts a request without a route as not sent', () => {
+  const reason = reasonOf(startSteering([upstreamEntry('u')]).handle(arrival('r', '/nowhere/')))
+  expect(reason).toBe('no-route')
+})
+
+it('keeps an upstream in use when requests end before they are sent, guarding against a healthy one that becomes suspect', () => {
+  const steering = startSteering([upstreamEntry('u')])
+  for (const cause of ['unsent', 'unsendable'] as const) {
+    const [dispatch] = steering.handle(arrival(cause, '/read/1'))
+    if (dispatch?.type !== 'dispatch') throw new Error('not dispatched')
+    const commands = steering.handle({ type: 'attempt-refused', attemptId: dispatch.attemptId, cause })
+    expect(reasonOf(commands)).toBe(cause === 'unsent' ? 'timeout-before-run' : 'unsendable')
+  }
+  expect([...steering.upstreams()][0].suspectSince).toBeUndefined()
+})
+
+it('keeps the failures of an upstream when a request ends before it is sent, guarding against a failing one that never becomes suspect', () => {
+  const steering = startSteering([upstreamEntry('u')])
+  for (let index = 0; index < 3; index += 1) {
+    const [broken] = steering.handle(arrival(`broken-${index}`, '/read/1'))
+    if (broken?.type !== 'dispatch') throw new Error('not dispatched')
+    steering.handle({ type: 'attempt-broken', attemptId: broken.attemptId, cause: 'reset' })
+    const [unsent] = steering.handle(arrival(`unsent-${index}`, '/read/1'))
+    if (unsent?.type === 'dispatch') steering.handle({ type: 'attempt-refused', attemptId: unsent.attemptId, cause: 'unsent' })
+  }
+  expect([...steering.upstreams()][0].suspectSince).toBeDefined()
+})
--- a/packages/steering/tests/store-readers.test.ts
+++ b/packages/steering/tests/store-readers.test.ts
@@ -2,7 +2,7 @@
  * Guards against too few readers of the store, so that data gets old, and against too many, so that the calls to the
  * store grow with the number of instances. Each instance decides on its own, from the peers that it sees.
  */
-import type { ReaderCandidate } from '../src/index.js'
+import type { PeerCandidate } from '../src/index.js'
 import { expect, it } from 'vitest'
 import { shouldReadStore } from '../src/index.js'
 
@@ -11,8 +11,8 @@
 
 /** Ids of the live instances that read the store when all of them see the same live and reading instances. */
 function readers (live: readonly string[], reading: readonly string[]): readonly string[] {
-  return live.filter(self => shouldReadStore({ id: self, region: regionOf(self) }, IDS.filter(id => id !== self).map((id): ReaderCandidate => ({
-    id, region: regionOf(id), isLive: live.includes(id), isReading: reading.includes(id)
+  return live.filter(self => shouldReadStore({ id: self, region: regionOf(self) }, IDS.filter(id => id !== self).map((id): PeerCandidate => ({
+    id, region: regionOf(id), isLive: live.includes(id), isReading: reading.includes(id), hasFailed: false
   }))))
 }
 
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -116,6 +116,12 @@
     message: 'caller of request {requestId} closed its connection',
     fields: ['requestId', 'durationMs', 'decisions']
   },
+  'request-not-sent': {
+    number: 2105,
+    level: 'info',
+    message: 'request {requestId} ended with status {status}: {reason}; it was not sent to an upstream',
+    fields: ['requestId', 'route', 'status', 'reason', 'durationMs', 'version', 'decisions']
+  },
   'attempt-failed': {
     number: 3001,
     level: 'info',
@@ -161,6 +167,7 @@
     message: '{kind} data of revision {revision} copied from instance {peerId}',
     fields: ['kind', 'revision', 'peerId']
   },
+  'poll-unreadable': { number: 4104, level: 'warn', message: 'a poll was rejected because its sender can\'t be read: {sender}', fields: ['sender'] },
   'configuration-adopted': {
     number: 5001,
     level: 'info',
