Keep the work of a tick and of a choice independent of the number of upstreams

Cause: each tick (50 a second) went over all upstreams twice, each choice for an object sorted all upstreams of the service after any change of the registry, and each cold upstream hashed all instances. Change: suspects and missing rows are kept in sets; an object's choice reads a shortlist of eight upstreams a region and falls back to the whole ranking when the first region has none; positions by subject are kept until the instances change.

--- a/packages/steering/src/instance-share.ts
+++ b/packages/steering/src/instance-share.ts
@@ -15,11 +15,25 @@
   readonly instanceLimit: (subject: string, totalLimit: number) => number
 }
 
+/** Subjects whose positions are kept; those of removed upstreams are dropped with the rest. */
+const MAX_CACHED_POSITIONS = 20_000
+
 export function createInstanceShare (self: string): InstanceShare {
   let instances: readonly string[] = [self]
+  /** Positions by subject, which change only with the instances. */
+  const positions = new Map<string, number>()
 
   /** Position of this instance in the order of the instances for a subject, from 0. */
   function position (subject: string): number {
+    let known = positions.get(subject)
+    if (known === undefined) {
+      if (positions.size >= MAX_CACHED_POSITIONS) positions.clear()
+      positions.set(subject, known = computePosition(subject))
+    }
+    return known
+  }
+
+  function computePosition (subject: string): number {
     const own = hash32(`${subject}\n${self}`)
     let before = 0
     for (const id of instances) {
@@ -31,7 +45,10 @@
 
   return {
     count: () => instances.length,
-    update: ids => { instances = ids.includes(self) ? ids : [...ids, self] },
+    update: ids => {
+      instances = ids.includes(self) ? ids : [...ids, self]
+      positions.clear()
+    },
     instanceLimit: (subject, totalLimit) => {
       const whole = Math.max(0, Math.floor(totalLimit))
       const each = Math.floor(whole / instances.length)
--- a/packages/steering/src/outlier-detection.ts
+++ b/packages/steering/src/outlier-detection.ts
@@ -5,6 +5,7 @@
  */
 import type { SteeringCommand } from './command.js'
 import type { Upstream } from './upstream.js'
+import type { UpstreamTable } from './upstream-table.js'
 
 /** Failure score at which an upstream becomes suspect. One reset does not suffice: it may have cost only that answer. */
 const SUSPECT_SCORE = 3
@@ -25,33 +26,50 @@
 /** Amount that one failure adds to the failure score. */
 const FAILURE_SCORE: { readonly [F in FailureKind]: number } = { unreachable: SUSPECT_SCORE, broken: 1 }
 
-/** Adds a failure to the upstream's score; returns a note if the upstream becomes suspect. */
-export function recordFailure (upstream: Upstream, failure: FailureKind, now: number): readonly SteeringCommand[] {
-  upstream.failureScore += FAILURE_SCORE[failure]
-  if (upstream.failureScore < SUSPECT_SCORE || upstream.suspectSince !== undefined) return []
-  upstream.suspectSince = now
-  upstream.nextProbeAt = now
-  return [{ type: 'note', subject: 'upstream-suspect', id: upstream.id, detail: failure }]
+export interface OutlierDetection {
+  /** Adds a failure to the upstream's score; returns a note if the upstream becomes suspect. */
+  readonly recordFailure: (upstream: Upstream, failure: FailureKind, now: number) => readonly SteeringCommand[]
+  /** Called after each answer, which shows that the upstream is reachable. It stays suspect until a probe succeeds. */
+  readonly resetFailureScore: (upstream: Upstream) => void
+  /** Resets the failure score; returns a note if the upstream was suspect. */
+  readonly restore: (upstream: Upstream, now: number) => readonly SteeringCommand[]
+  /** The suspect upstreams whose next probe is due; schedules the one after it. */
+  readonly claimDueProbes: (now: number) => readonly Upstream[]
 }
 
-/** Called after each answer, which shows that the upstream is reachable. It stays suspect until a probe succeeds. */
-export function resetFailureScore (upstream: Upstream): void {
-  upstream.failureScore = 0
-}
-
-/** Resets the failure score; returns a note if the upstream was suspect. */
-export function restoreUpstream (upstream: Upstream, now: number): readonly SteeringCommand[] {
-  upstream.failureScore = 0
-  if (upstream.suspectSince === undefined) return []
-  const detail = `${Math.round(now - upstream.suspectSince)} ms`
-  upstream.suspectSince = undefined
-  return [{ type: 'note', subject: 'upstream-restored', id: upstream.id, detail }]
-}
+export function createOutlierDetection (upstreams: Pick<UpstreamTable, 'get'>): OutlierDetection {
+  const suspects = new Set<Upstream>()
 
-/** Returns whether a probe of a suspect upstream is due and, if so, schedules the next one. */
-export function claimDueProbe (upstream: Upstream, now: number): boolean {
-  if (upstream.suspectSince === undefined || now < upstream.nextProbeAt) return false
-  const long = now - upstream.suspectSince > LONG_INTERVAL_AFTER_MS
-  upstream.nextProbeAt = now + (long ? LONG_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS)
-  return true
+  return {
+    recordFailure: (upstream, failure, now) => {
+      upstream.failureScore += FAILURE_SCORE[failure]
+      if (upstream.failureScore < SUSPECT_SCORE || upstream.suspectSince !== undefined) return []
+      upstream.suspectSince = now
+      upstream.nextProbeAt = now
+      suspects.add(upstream)
+      return [{ type: 'note', subject: 'upstream-suspect', id: upstream.id, detail: failure }]
+    },
+    resetFailureScore: upstream => { upstream.failureScore = 0 },
+    restore: (upstream, now) => {
+      upstream.failureScore = 0
+      suspects.delete(upstream)
+      if (upstream.suspectSince === undefined) return []
+      const detail = `${Math.round(now - upstream.suspectSince)} ms`
+      upstream.suspectSince = undefined
+      return [{ type: 'note', subject: 'upstream-restored', id: upstream.id, detail }]
+    },
+    claimDueProbes: now => {
+      const due: Upstream[] = []
+      for (const upstream of suspects) {
+        const { id, suspectSince, nextProbeAt } = upstream
+        // A removed upstream, or one whose process was replaced, is no longer probed.
+        if (suspectSince === undefined || upstreams.get(id) !== upstream) suspects.delete(upstream)
+        else if (now >= nextProbeAt) {
+          upstream.nextProbeAt = now + (now - suspectSince > LONG_INTERVAL_AFTER_MS ? LONG_PROBE_INTERVAL_MS : PROBE_INTERVAL_MS)
+          due.push(upstream)
+        }
+      }
+      return due
+    }
+  }
 }
--- a/packages/steering/src/placement.ts
+++ b/packages/steering/src/placement.ts
@@ -108,22 +108,29 @@
     }
   }
 
-  /** Upstreams of the service, in the order of the object's ranking if the request has an object. */
-  function rankUpstreams ({ service, objectKey, homeRegions }: PlacementQuery): readonly Upstream[] {
-    const rows = upstreams.ofService(service)
-    return objectKey === undefined ? rows : ranking.rank({ service, objectKey, homeRegions, upstreams: rows, version: upstreams.version() })
-  }
-
   /**
    * For a request with an object, the first usable upstream and the first one of another region or, if there is none,
    * the second one of the same region. For a request without an object, all usable upstreams. A suspect upstream is
    * returned only if there is no other.
    */
   function findCandidates (query: PlacementQuery, now: number): readonly Upstream[] {
+    const { service, objectKey, homeRegions } = query
+    const rows = upstreams.ofService(service)
+    if (objectKey === undefined) return selectCandidates(rows, query, now)
+    const rankingQuery = { service, objectKey, homeRegions, upstreams: rows, version: upstreams.version() }
+    const shortlist = ranking.shortlist(rankingQuery)
+    const found = selectCandidates(shortlist, query, now)
+    // The rest of the first region is preferred to other regions, and a suspect upstream is the last resort.
+    const isSufficient = found.length > 0 && found[0].region === shortlist[0].region && found[0].suspectSince === undefined
+    return isSufficient || shortlist.length === rows.length ? found : selectCandidates(ranking.rank(rankingQuery), query, now)
+  }
+
+  /** The candidates among `ranked`, which is in the order of preference if the request has an object. */
+  function selectCandidates (ranked: readonly Upstream[], query: PlacementQuery, now: number): readonly Upstream[] {
     const limits = dependencies.upstreamLimitsOf(query.service)
     const found: Upstream[] = []
     let suspect: Upstream | undefined
-    for (const upstream of rankUpstreams(query)) {
+    for (const upstream of ranked) {
       if (!isUsable(upstream, query, limits) || !coldRateLimit.allows(upstream, limits.totalColdRequestsPerSecond, now)) continue
       if (upstream.suspectSince !== undefined) suspect ??= upstream
       else found.push(upstream)
--- a/packages/steering/src/ranking.ts
+++ b/packages/steering/src/ranking.ts
@@ -23,10 +23,17 @@
 export interface Ranking {
   /** All upstreams of the service, the preferred one first. The array is cached: callers must not change it. */
   readonly rank: (query: RankingQuery) => readonly Upstream[]
+  /**
+   * The first few upstreams of each region, in the order of `rank`. Cheaper to compute and to keep than the whole order,
+   * of which a choice rarely needs more. Cached, too.
+   */
+  readonly shortlist: (query: RankingQuery) => readonly Upstream[]
 }
 
 /** Number of cached rankings above which the cache is emptied; a ranking is cheap to compute again. */
 const MAX_CACHED_RANKINGS = 20_000
+/** Upstreams of a region in a shortlist. */
+const SHORTLIST_PER_REGION = 8
 
 const HASH_RANGE = 2 ** 32
 const REGION_HASH = hash32('region')
@@ -38,9 +45,21 @@
   return (hash ^ (hash >>> 16)) >>> 0
 }
 
+interface Scored { readonly upstream: Upstream, readonly score: number }
+
+/** Inserts into a list that is sorted by score and holds at most `SHORTLIST_PER_REGION`. */
+function insertScored (list: Scored[], added: Scored): void {
+  if (list.length === SHORTLIST_PER_REGION && list[list.length - 1].score >= added.score) return
+  let index = list.length
+  while (index > 0 && list[index - 1].score < added.score) index -= 1
+  list.splice(index, 0, added)
+  if (list.length > SHORTLIST_PER_REGION) list.pop()
+}
+
 /** Creates the ranking for requests of callers in `ownRegion`. Each of `configuredRegions` is taken to have callers. */
 export function createRanking (ownRegion: string, configuredRegions: readonly string[]): Ranking {
-  const cache = new Map<string, readonly Upstream[]>()
+  const rankings = new Map<string, readonly Upstream[]>()
+  const shortlists = new Map<string, readonly Upstream[]>()
   const sharesByKey = new Map<string, RegionShares>()
   let cachedVersion = -1
 
@@ -58,29 +77,45 @@
     return found
   }
 
-  function compute (query: RankingQuery): readonly Upstream[] {
+  function createScore (query: RankingQuery): (upstream: Upstream) => number {
     const objectHash = hash32(query.objectKey)
     const region = regionAt(sharesOf(query), mixHashes(objectHash, REGION_HASH) / HASH_RANGE)
-    return query.upstreams
-      .map(upstream => ({ upstream, score: mixHashes(objectHash, upstream.idHash) + (upstream.region === region ? HASH_RANGE : 0) }))
+    return upstream => mixHashes(objectHash, upstream.idHash) + (upstream.region === region ? HASH_RANGE : 0)
+  }
+
+  function computeRanking (query: RankingQuery): readonly Upstream[] {
+    const scoreOf = createScore(query)
+    return query.upstreams.map(upstream => ({ upstream, score: scoreOf(upstream) }))
       .sort((a, b) => b.score - a.score)
       .map(({ upstream }) => upstream)
   }
 
-  return {
-    rank: query => {
-      if (query.version !== cachedVersion || cache.size > MAX_CACHED_RANKINGS) {
-        cache.clear()
-        sharesByKey.clear()
-        cachedVersion = query.version
-      }
-      const key = `${query.service}\n${query.objectKey}\n${query.homeRegions.join()}`
-      let ranked = cache.get(key)
-      if (ranked === undefined) {
-        ranked = compute(query)
-        cache.set(key, ranked)
-      }
-      return ranked
+  function computeShortlist (query: RankingQuery): readonly Upstream[] {
+    const scoreOf = createScore(query)
+    const bestByRegion = new Map<string, Scored[]>()
+    for (const upstream of query.upstreams) {
+      let best = bestByRegion.get(upstream.region)
+      if (best === undefined) bestByRegion.set(upstream.region, best = [])
+      insertScored(best, { upstream, score: scoreOf(upstream) })
     }
+    return [...bestByRegion.values()].flat().sort((a, b) => b.score - a.score).map(({ upstream }) => upstream)
+  }
+
+  function getOrCompute (cache: Map<string, readonly Upstream[]>, query: RankingQuery, compute: (query: RankingQuery) => readonly Upstream[]): readonly Upstream[] {
+    if (query.version !== cachedVersion || cache.size > MAX_CACHED_RANKINGS) {
+      rankings.clear()
+      shortlists.clear()
+      sharesByKey.clear()
+      cachedVersion = query.version
+    }
+    const key = `${query.service}\n${query.objectKey}\n${query.homeRegions.join()}`
+    let found = cache.get(key)
+    if (found === undefined) cache.set(key, found = compute(query))
+    return found
+  }
+
+  return {
+    rank: query => getOrCompute(rankings, query, computeRanking),
+    shortlist: query => getOrCompute(shortlists, query, computeShortlist)
   }
 }
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -9,6 +9,7 @@
 import type { PlacementBasis, Respond, SteeringCommand } from './command.js'
 import type { Route } from './deployment.js'
 import type { AttemptAnswered, AttemptBroken, AttemptRefused, RequestArrived } from './event.js'
+import type { OutlierDetection } from './outlier-detection.js'
 import type { Candidate, Placement } from './placement.js'
 import type { Refusal } from './refusal.js'
 import type { Attempt, PendingRequest } from './pending-request.js'
@@ -21,7 +22,6 @@
 import { createExpectedDuration } from './expected-duration.js'
 import { recordMeasuredSlowdown, recordLoadReport } from './load-estimate.js'
 import { REFUSAL_STATUS } from './refusal.js'
-import { resetFailureScore, recordFailure } from './outlier-detection.js'
 import { createTrafficSplit } from './traffic-split.js'
 import { createUsualDeadline } from './usual-deadline.js'
 
@@ -40,6 +40,7 @@
 
 export interface RequestLifecycleDependencies {
   readonly upstreams: UpstreamTable
+  readonly outlierDetection: OutlierDetection
   readonly placement: Placement
   readonly coldRateLimit: ColdRateLimit
   readonly retryBudget: RetryBudget
@@ -77,7 +78,7 @@
 }
 
 export function createRequestLifecycle (dependencies: RequestLifecycleDependencies): RequestLifecycle {
-  const { upstreams, placement, coldRateLimit, retryBudget, roundTrips } = dependencies
+  const { upstreams, outlierDetection, placement, coldRateLimit, retryBudget, roundTrips } = dependencies
   const requests = new Map<string, PendingRequest>()
   const attempts = new Map<string, Attempt>()
   const expectedDuration = createExpectedDuration()
@@ -230,8 +231,8 @@
       const commands: SteeringCommand[] = []
       if (upstream !== undefined) {
         if (event.load !== undefined) recordLoadReport(upstream, event.load, now)
-        if (event.cause === 'unreachable') commands.push(...recordFailure(upstream, 'unreachable', now))
-        if (ANSWERED_CAUSES.has(event.cause)) resetFailureScore(upstream)
+        if (event.cause === 'unreachable') commands.push(...outlierDetection.recordFailure(upstream, 'unreachable', now))
+        if (ANSWERED_CAUSES.has(event.cause)) outlierDetection.resetFailureScore(upstream)
         if (event.cause === 'misdirected') {
           upstreams.remove(upstream.id)
           commands.push({ type: 'note', subject: 'upstream-removed', id: upstream.id, detail: 'another upstream has its address' })
@@ -248,7 +249,7 @@
       const isFailure = event.status >= MIN_ERROR_STATUS
       if (upstream !== undefined) {
         if (event.load !== undefined) recordLoadReport(upstream, event.load, now)
-        resetFailureScore(upstream)
+        outlierDetection.resetFailureScore(upstream)
         if (request !== undefined && !isFailure) {
           const workMs = Math.max(1, now - attempt.startedAt - roundTrips.roundTripMs(upstream.entry.zone, upstream.region))
           recordMeasuredSlowdown(upstream, workMs / attempt.expectedWorkMs, now)
@@ -268,7 +269,7 @@
       const { upstream, request } = ended
       const commands: SteeringCommand[] = []
       if (upstream !== undefined) {
-        if (event.cause === 'reset') commands.push(...recordFailure(upstream, 'broken', now))
+        if (event.cause === 'reset') commands.push(...outlierDetection.recordFailure(upstream, 'broken', now))
         else upstream.noConnectionReuseUntil = now + NO_CONNECTION_REUSE_MS
       }
       if (request === undefined) return commands
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -24,7 +24,7 @@
 import { createRetryBudget } from './retry-budget.js'
 import { createRouteIndex } from './route-index.js'
 import { createRegionShiftLimit } from './region-shift-limit.js'
-import { claimDueProbe, recordFailure, restoreUpstream } from './outlier-detection.js'
+import { createOutlierDetection } from './outlier-detection.js'
 import { recordLoadReport } from './load-estimate.js'
 import { createUpstreamTable } from './upstream-table.js'
 import { createZoneRoundTrips } from './zone-round-trips.js'
@@ -69,6 +69,7 @@
   const { self, regions } = options
   const instanceShare = createInstanceShare(self.id)
   const upstreams = createUpstreamTable(zone => regions[zone] ?? zone)
+  const outlierDetection = createOutlierDetection(upstreams)
   const roundTrips = createZoneRoundTrips(self)
   const coldRateLimit = createColdRateLimit(instanceShare)
   const retryBudget = createRetryBudget(options.retries, instanceShare.count)
@@ -91,7 +92,7 @@
   const placement = createPlacement({
     upstreams, ranking: createRanking(self.region, [...new Set(Object.values(regions))]), coldRateLimit, roundTrips, regionShiftLimit: createRegionShiftLimit(), upstreamLimitsOf, isEvacuated: zone => evacuations.has(zone)
   })
-  const lifecycle = createRequestLifecycle({ upstreams, placement, coldRateLimit, retryBudget, roundTrips, findRoute: (host, path) => routes?.find(host, path), hasTopPriority })
+  const lifecycle = createRequestLifecycle({ upstreams, outlierDetection, placement, coldRateLimit, retryBudget, roundTrips, findRoute: (host, path) => routes?.find(host, path), hasTopPriority })
 
   function putUpstream (entry: UpstreamEntry, now: number): readonly SteeringCommand[] {
     const wasDraining = upstreams.get(entry.id)?.entry.state === 'draining'
@@ -127,9 +128,7 @@
     tick: (_event, now) => {
       const commands: SteeringCommand[] = []
       for (const id of upstreams.overdueIds(now)) commands.push(...removeUpstream(id, 'not registered again'))
-      for (const upstream of upstreams.all()) {
-        if (claimDueProbe(upstream, now)) commands.push(createProbe(upstream))
-      }
+      for (const upstream of outlierDetection.claimDueProbes(now)) commands.push(createProbe(upstream))
       commands.push(...lifecycle.onTick(now))
       return commands
     },
@@ -144,10 +143,10 @@
       if (event.answeredBy !== undefined && event.answeredBy !== upstream.id) {
         return removeUpstream(upstream.id, `address answers as ${event.answeredBy}`)
       }
-      if (!event.healthy) return recordFailure(upstream, 'unreachable', now)
+      if (!event.healthy) return outlierDetection.recordFailure(upstream, 'unreachable', now)
       upstream.coldUntil = now + event.coldMs
       if (event.load !== undefined) recordLoadReport(upstream, event.load, now)
-      return restoreUpstream(upstream, now)
+      return outlierDetection.restore(upstream, now)
     },
     'zone-reached': event => {
       roundTrips.record(event.zone, event.roundTripMs)
--- a/packages/steering/src/upstream-table.ts
+++ b/packages/steering/src/upstream-table.ts
@@ -33,6 +33,8 @@
 export function createUpstreamTable (regionOf: (zone: string) => string): UpstreamTable {
   const rows = new Map<string, Upstream>()
   const rowsByService = new Map<string, readonly Upstream[]>()
+  /** Ids that were marked as missing; some may be back or removed since. */
+  const marked = new Set<string>()
   let version = 0
 
   function invalidate (): void {
@@ -98,10 +100,18 @@
     },
     markMissing: (id, now) => {
       const row = rows.get(id)
-      if (row !== undefined) row.missingSince ??= now
+      if (row === undefined) return
+      row.missingSince ??= now
+      marked.add(id)
     },
-    overdueIds: now => [...rows.values()]
-      .filter(({ missingSince }) => missingSince !== undefined && now - missingSince >= MISSING_GRACE_MS)
-      .map(({ id }) => id)
+    overdueIds: now => {
+      const overdue: string[] = []
+      for (const id of marked) {
+        const missingSince = rows.get(id)?.missingSince
+        if (missingSince === undefined) marked.delete(id)
+        else if (now - missingSince >= MISSING_GRACE_MS) overdue.push(id)
+      }
+      return overdue
+    }
   }
 }
