Answer every request on an accepted connection during a planned stop

The port now closes after iterations of the event loop that accept nothing, and the process ends when all callers' connections have. Ruled out: keeping the port open with refusals until the end; a refused connection tells its caller to use another address, a 503 does not.

The gateway's test processes use a loopback address each: one run failed with EADDRINUSE, because two processes chose the same free port.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
  * It is built on the steering package. The entry package is built on the core package's engine instead, whose instances
  * dispatch only within their own zone and forward other requests to each other.
  */
-import type { PlacementBasis, InstanceEntry, InstanceReport, Note, Steering, SteeringCommand, SteeringEvent } from '@arbutustray/steering'
+import type { PlacementBasis, InstanceEntry, InstanceReport, Note, Steering, SteeringCommand, SteeringEvent, StopPhase } from '@arbutustray/steering'
 import type { RateLimitedLog, LogEventId, Metrics } from '@arbutustray/telemetry'
 import type { HttpExchange } from './http-exchange.js'
 import type { GatewaySettings } from './gateway-settings.js'
@@ -70,6 +70,10 @@
   return `${upstreamId} rank ${rank} load ${load.toFixed(1)} age ${age} ms pace ${slowdown.toFixed(2)} expected ${Math.round(expectedMs)} ms`
 }
 
+async function sleep (durationMs: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, durationMs))
+}
+
 /** Starts a gateway. Rejects if a port cannot be opened. */
 export async function startGateway ({ settings, isCopiedFromPeers }: GatewayOptions): Promise<Gateway> {
   const startedAt = performance.now()
@@ -96,7 +100,9 @@
   let isStopping = false
   let isReady = false
   const accepts = (): boolean => isReady && !isStopping
-  const phase = (): ReturnType<typeof stopSchedule.phase> => stopSchedule.phase(performance.now(), callerServer.inFlight())
+  // An open connection may carry a request that was not read yet; kept ones are closed when the port is.
+  const openWork = (): number => Math.max(callerServer.inFlight(), callerServer.listener.openConnections())
+  const phase = (): StopPhase => stopSchedule.phase(performance.now(), openWork())
 
   const eventQueue: SteeringEvent[] = []
   let isProcessingEvents = false
@@ -207,25 +213,14 @@
     isStopping = true
     stopSchedule.begin(performance.now())
     rateLimitedLog.log('gateway-stopping', { pending: callerServer.inFlight() })
-    await new Promise<void>(resolve => {
-      let isAccepting = true
-      const check = setInterval(() => {
-        const current = phase()
-        if (isAccepting && (current === 'closing' || current === 'ended')) {
-          isAccepting = false
-          callerServer.listener.stopAccepting()
-        }
-        if (current !== 'ended') return
-        clearInterval(check)
-        resolve()
-      }, STOP_CHECK_INTERVAL_MS)
-    })
+    while (phase() === 'serving' || phase() === 'leaving') await sleep(STOP_CHECK_INTERVAL_MS)
+    await callerServer.listener.stopAccepting()
+    while (phase() !== 'ended') await sleep(STOP_CHECK_INTERVAL_MS)
     clearInterval(timer)
     rateLimitedLog.log('gateway-stopped', { pending: callerServer.inFlight() })
     onStopped?.()
     rateLimitedLog.close()
-    for (const [, listener] of listeners) listener.stopAccepting()
-    await Promise.all([peerSync.stop(), upstreamClient.close()])
+    await Promise.all([...listeners.map(async ([, listener]) => await listener.stopAccepting()), peerSync.stop(), upstreamClient.close()])
   }
 
   const shouldRead = (): boolean => shouldReadStore(self, directory.peerCandidates(performance.now()))
--- a/packages/gateway/src/http-listener.ts
+++ b/packages/gateway/src/http-listener.ts
@@ -9,19 +9,49 @@
   readonly server: Server
   /** Resolves when the port is open. */
   readonly listen: (address: string) => Promise<void>
-  /** Stops accepting connections and closes idle ones; the others close after their next answer. */
-  readonly stopAccepting: () => void
+  /**
+   * Stops accepting connections and closes idle ones; the others close after their next answer. Connections that the
+   * operating system has established already are accepted first, since it would reset them when the port closes.
+   */
+  readonly stopAccepting: () => Promise<void>
+  /** Number of open connections. */
+  readonly openConnections: () => number
   /** Closes all connections immediately. */
   readonly destroy: () => void
 }
 
 /** Length of the listen backlog. Many callers connect at once after another instance stops. */
 const MAX_PENDING_CONNECTIONS = 4_096
+/** Iterations of the event loop without a new connection after which none waits; each one accepts at least one. */
+const QUIET_ITERATIONS = 3
+/** Limit on the wait for such iterations, in milliseconds. */
+const MAX_QUIET_WAIT_MS = 250
+
+async function nextIteration (): Promise<void> {
+  await new Promise<void>(resolve => setImmediate(resolve))
+}
 
 export function createHttpListener (options: ServerOptions, onRequest: RequestListener): HttpListener {
   const server = createServer(options, onRequest)
+  let accepted = 0
+  let closed = 0
+  server.on('connection', socket => {
+    accepted += 1
+    socket.once('close', () => { closed += 1 })
+  })
+
+  /** Resolves when no established connection waits to be accepted. */
+  async function acceptWaiting (): Promise<void> {
+    const endsAt = performance.now() + MAX_QUIET_WAIT_MS
+    for (let quiet = 0, before = accepted; quiet < QUIET_ITERATIONS && performance.now() < endsAt; before = accepted) {
+      await nextIteration()
+      quiet = accepted === before ? quiet + 1 : 0
+    }
+  }
+
   return {
     server,
+    openConnections: () => accepted - closed,
     listen: async address => {
       const { host, port } = parseAddress(address)
       await new Promise<void>((resolve, reject) => {
@@ -32,7 +62,8 @@
         })
       })
     },
-    stopAccepting: () => {
+    stopAccepting: async () => {
+      await acceptWaiting()
       server.close()
       server.closeIdleConnections()
     },
--- a/packages/gateway/tests/support.ts
+++ b/packages/gateway/tests/support.ts
@@ -46,10 +46,15 @@
   return { id, service: 'shop', address, zone: 'zone-1', slots: 4, state: 'ready', coldMs: 0, bornAt: 1 }
 }
 
+/** Each test process has a loopback address of its own, so that no other one takes a port between its check and its use. */
+const HOST = `127.${10 + Math.floor(process.pid / 250) % 200}.${1 + process.pid % 250}.1`
+
 async function freeAddress (): Promise<string> {
-  const { server, address } = await listen(() => {})
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, HOST, resolve))
+  const { port } = server.address() as AddressInfo
   await new Promise(resolve => server.close(resolve))
-  return address
+  return `${HOST}:${port}`
 }
 
 /** Starts a gateway with a replica that holds `DEPLOYMENT` and the upstreams. */
