--- a/packages/gateway/src/peer-sync.ts
+++ b/packages/gateway/src/peer-sync.ts
@@ -2,24 +2,25 @@
  * Polls the other instances and copies newer data from them, except for the kinds that this instance reads from the store
  * itself. The replies also update the directory: which instances are live and which of them read the store.
  */
-import type { InstanceDirectory, InstanceEntry, InstanceReport, Sighting } from '@arbutustray/steering'
+import type { InstanceDirectory, InstanceEntry, InstanceReport } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { SightingRow } from './sighting.js'
 import type { ReplicaUpdate, StoreReplica, ResourceKind, Revisions } from './store-replica.js'
 import { createPeerSelection } from '@arbutustray/steering'
 import { Agent } from 'undici'
 import { createConnector } from './connector.js'
 import { fetchJson } from './fetch-json.js'
 import { parseTarget } from './request-target.js'
-import { parseSighting, readSightings } from './sighting.js'
+import { encodeSighting, parseSighting, readSightings } from './sighting.js'
 import { RESOURCE_KINDS } from './store-replica.js'
 
 /** Reply of an instance to a poll: its own report and the revision of each kind in its replica. */
 export interface PeerState extends InstanceReport {
   readonly id: string
   readonly revisions: Revisions
-  /** Other live instances of its region and of the region that the poll names. */
-  readonly sightings: readonly Sighting[]
+  /** Other live instances of its region. */
+  readonly sightings: readonly SightingRow[]
 }
 
 export interface PeerSyncOptions {
@@ -89,8 +90,8 @@
     try {
       const askedAt = performance.now()
       // The poll itself shows that this instance is live, so it carries its state.
-      const sender = encodeURIComponent(JSON.stringify(directory.ownSighting(options.report())))
-      const state = await get<PeerState>(address, `${STATE_PATH}?region=${encodeURIComponent(self.region)}&sender=${sender}`)
+      const sender = encodeURIComponent(JSON.stringify(encodeSighting(directory.ownSighting(options.report()))))
+      const state = await get<PeerState>(address, `${STATE_PATH}?sender=${sender}`)
       directory.recordReport(state.id, state, performance.now())
       directory.recordSightings(readSightings(state.sightings), askedAt)
       if (failedPollTargets.delete(id)) telemetry.log('peer-answers', { peerId: id })
@@ -135,7 +136,7 @@
 
   function createResponseBody (url: URL): unknown {
     if (url.pathname === STATE_PATH) {
-      const sightings = directory.sightings([self.region, url.searchParams.get('region') ?? self.region], performance.now())
+      const sightings = directory.sightings(performance.now()).map(encodeSighting)
       return { id: self.id, ...options.report(), revisions: replica.revisions(), sightings } satisfies PeerState
     }
     const kind = RESOURCE_KINDS.find(name => name === url.searchParams.get('kind'))
--- a/packages/steering/src/instance-directory.ts
+++ b/packages/steering/src/instance-directory.ts
@@ -51,8 +51,8 @@
   readonly recordFailure: (id: string) => void
   /** This instance's own state, to send with a poll. */
   readonly ownSighting: (report: InstanceReport) => Sighting
-  /** The live instances of the regions, without this one, to pass on to another instance. */
-  readonly sightings: (regions: readonly string[], now: number) => readonly Sighting[]
+  /** The other live instances of this one's region, to pass on to another instance. */
+  readonly sightings: (now: number) => readonly Sighting[]
   /**
    * Records what another instance passed on in answer to a poll that was sent at `askedAt`; sightings that are not newer
    * than what is known are ignored.
@@ -148,7 +148,7 @@
       if (row !== undefined) row.hasFailed = true
     },
     ownSighting: report => ({ id: self.id, addressHash: hash32(self.peerAddress), ageMs: 0, accepts: report.accepts, isReading: report.isReading }),
-    sightings: (regions, now) => others().filter(row => regions.includes(row.entry.region) && isLive(row, now))
+    sightings: now => others().filter(row => row.entry.region === self.region && isLive(row, now))
       .map(({ entry: { id }, addressHash, answeredAt, accepts, isReading }) => ({ id, addressHash, ageMs: Math.ceil(now - answeredAt), accepts, isReading })),
     recordSightings: (sightings, askedAt) => {
       for (const { id, addressHash, ageMs, accepts, isReading } of sightings) {
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -74,6 +74,7 @@
     message: 'could not listen on {address} for the {purpose} port: {error}',
     fields: ['purpose', 'address', 'error']
   },
+  'process-fault': { number: 1108, level: 'error', message: 'an error that nothing handled; the process goes on: {error}', fields: ['error'] },
   'request-rejected': {
     number: 2001,
     level: 'debug',
