--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -20,7 +20,9 @@
           name: 'unit',
           include: ['{packages/*,platform,platform/soak}/tests/**/*.test.ts'],
           exclude: ['**/tests/real/**', '**/tests/processes/**', '**/node_modules/**'],
-          setupFiles: ['./scripts/paused-clock.ts', './scripts/fixed-seed.ts']
+          setupFiles: ['./scripts/paused-clock.ts', './scripts/fixed-seed.ts'],
+          // The clock is paused, so the runner's limit only ends tests that hang; a property of 100 runs takes seconds.
+          testTimeout: 20_000
         }
       },
       {
