--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,8 +41,11 @@
   readonly isCopiedFromPeers: (kind: ResourceKind) => boolean
 }
 
-/** Interval of the engine's timeouts, health probes and hedging; short relative to latency objectives of about 100 ms. */
-const TICK_INTERVAL_MS = 20
+/**
+ * Interval of the engine's timeouts, health probes and hedging. Within the time that a request reserves for its answer,
+ * so that a timeout reaches the caller before its deadline.
+ */
+const TICK_INTERVAL_MS = 40
 const STOP_CHECK_INTERVAL_MS = 50
 /** Limits of the log, in lines per second; a line takes about 20 µs of processor time. */
 const MAX_LOG_LINES = { routinePerSecond: 20, exceptionalPerSecond: 60 } as const
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -61,8 +61,8 @@
  * request, in milliseconds.
  */
 const NO_CONNECTION_REUSE_MS = 5_000
-/** Time reserved for sending the answer, in milliseconds; one that reaches the caller after its deadline is lost. */
-const ANSWER_RESERVE_MS = 30
+/** Time reserved for a tick and for sending the answer, in milliseconds; one that reaches the caller after its deadline is lost. */
+const ANSWER_RESERVE_MS = 50
 /** Lowest HTTP status that counts as a failure of the upstream. */
 const MIN_ERROR_STATUS = 500
 
