--- a/packages/gateway/tests/store-replica.test.ts
+++ b/packages/gateway/tests/store-replica.test.ts
@@ -44,3 +44,17 @@
   follower.applyUpdate('upstreams', reader.updateSince('upstreams', 1))
   expect(events.at(-1)).toEqual({ type: 'upstream-changed', id: 'a', afterOutage: true })
 })
+
+it('replaces what a restarted instance copied from a lagging one, guarding against a removed upstream that is in use again after a restart', () => {
+  const current = createReplica().replica
+  const lagging = createReplica().replica
+  const { replica: restarted, events } = createReplica()
+  for (const replica of [current, lagging]) replica.replace('upstreams', 10, [['stays', entry('stays')], ['leaves', entry('leaves')]], false)
+  current.applyChanges('upstreams', 11, [{ revision: 11, name: 'leaves', afterOutage: false }])
+
+  restarted.applyUpdate('upstreams', lagging.updateSince('upstreams', restarted.revisions().upstreams))
+  restarted.applyUpdate('upstreams', current.updateSince('upstreams', restarted.revisions().upstreams))
+  expect(restarted.applyUpdate('upstreams', lagging.updateSince('upstreams', -1))).toBe(false)
+  expect(restarted.updateSince('upstreams', -1).entries?.map(([name]) => name)).toEqual(['stays'])
+  expect(events.at(-1)).toMatchObject({ type: 'upstream-changed', id: 'leaves' })
+})
