--- a/packages/gateway/tests/real/answer-integrity.test.ts
+++ b/packages/gateway/tests/real/answer-integrity.test.ts
@@ -133,10 +133,10 @@
     socket.write(answer(id))
   })
   const agent = new Agent()
-  const pending = request(`${origin}/buy/1`, { method: 'DELETE', dispatcher: agent, headers: { host: 'shop.example', 'x-id': 'late', 'x-object': '1', 'x-deadline': '300' } })
+  const pending = request(`${origin}/buy/1`, { method: 'DELETE', dispatcher: agent, headers: { host: 'shop.example', 'x-id': 'late', 'x-object': '1', 'x-deadline': '600' } })
   // Blocks the event loop, as a pause of the process does, as soon as the connection to the upstream is being opened.
   while (gateway.steering.pending() === 0) await new Promise(resolve => setImmediate(resolve))
-  const until = performance.now() + 600
+  const until = performance.now() + 900
   while (performance.now() < until);
   const reply = await pending
   await reply.body.dump()
