--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -119,10 +119,16 @@
     if (this.#ended) return
     this.#answer?.fail()
     const code = (error as { readonly code?: unknown }).code
-    if (this.#controller === undefined) return this.#emitRefused(this.#isExpired ? 'unsent' : code === INVALID_REQUEST_CODE ? 'unsendable' : 'unreachable', error.message)
+    if (this.#controller === undefined) return this.#emitRefused(this.#unsentCause(code), error.message)
     this.#emitBroken(typeof code === 'string' && code.startsWith('HPE_') ? 'garbled' : 'reset', undefined, error.message)
   }
 
+  /** Why the attempt ended before its first byte was written. */
+  #unsentCause (code: unknown): AttemptRefused['cause'] {
+    if (this.#isExpired) return 'unsent'
+    return code === INVALID_REQUEST_CODE ? 'unsendable' : 'unreachable'
+  }
+
   /** Ends the attempt without an event. */
   cancel (): void {
     this.#abort('cancelled')
--- a/packages/gateway/src/fetch-json.ts
+++ b/packages/gateway/src/fetch-json.ts
@@ -1,6 +1,6 @@
 /**
- * Fetches a JSON document from another instance. Uses undici's dispatch interface, which costs about half the processor
- * time of its `request` function; an instance fetches several documents a second.
+ * Fetches a JSON document from another instance. Uses undici's dispatch interface, which creates no stream and no abort
+ * signal for each call; an instance fetches several documents a second.
  */
 import type { Dispatcher } from 'undici'
 
--- a/packages/steering/src/instance-directory.ts
+++ b/packages/steering/src/instance-directory.ts
@@ -96,14 +96,17 @@
 
 export function createInstanceDirectory (self: InstanceEntry, selfAccepts: () => boolean): InstanceDirectory {
   const rows = new Map<string, Row>([[self.id, { entry: self, addressHash: hash32(self.peerAddress), answeredAt: Infinity, hasFailed: false, accepts: true, isReading: false }]])
-  let ownRegionSilentAfterMs = silentAfterMs(1)
+  /** Computed again after a change of the rows. */
+  let ownRegionSilentAfterMs: number | undefined
 
-  function countOwnRegion (): void {
-    ownRegionSilentAfterMs = silentAfterMs([...rows.values()].filter(({ entry }) => entry.region === self.region).length)
+  function computeOwnRegionSilentAfterMs (): number {
+    return silentAfterMs([...rows.values()].filter(({ entry }) => entry.region === self.region).length)
   }
 
   function isLive ({ entry, answeredAt }: Row, now: number): boolean {
-    return now - answeredAt < (entry.region === self.region ? ownRegionSilentAfterMs : DISTANT_SILENT_AFTER_MS)
+    if (entry.region !== self.region) return now - answeredAt < DISTANT_SILENT_AFTER_MS
+    ownRegionSilentAfterMs ??= computeOwnRegionSilentAfterMs()
+    return now - answeredAt < ownRegionSilentAfterMs
   }
 
   function isUsable (row: Row, now: number): boolean {
@@ -127,11 +130,11 @@
         accepts: sameAddress && known.accepts,
         isReading: sameAddress && known.isReading
       })
-      countOwnRegion()
+      ownRegionSilentAfterMs = undefined
     },
     remove: id => {
       if (id !== self.id) rows.delete(id)
-      countOwnRegion()
+      ownRegionSilentAfterMs = undefined
     },
     ids: () => [...rows.keys()],
     peers: () => others().map(({ entry }) => entry),
