--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type { GatewaySettings } from './gateway-settings.js'
 import type { HttpListener } from './http-listener.js'
 import type { StoreReplica, ResourceKind } from './store-replica.js'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
 import { createRateLimitedLog, createMetrics } from '@arbutustray/telemetry'
 import { createCallerServer } from './caller-server.js'
@@ -73,10 +74,6 @@
   return `${upstreamId} rank ${rank} load ${load.toFixed(1)} age ${age} ms pace ${slowdown.toFixed(2)} expected ${Math.round(expectedMs)} ms`
 }
 
-async function sleep (durationMs: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, durationMs))
-}
-
 /** Starts a gateway. Rejects if a port cannot be opened. */
 export async function startGateway ({ settings, isCopiedFromPeers }: GatewayOptions): Promise<Gateway> {
   const startedAt = performance.now()
--- a/packages/gateway/tests/real/malformed-input.test.ts
+++ b/packages/gateway/tests/real/malformed-input.test.ts
@@ -38,6 +38,13 @@
   return gateway
 }
 
+/** Writes a piece again and again, as fast as it is read, until the connection closes. */
+function pour (socket: Socket, piece: string, onSent: (bytes: number) => void): void {
+  if (socket.destroyed) return
+  onSent(piece.length)
+  socket.write(piece, () => setImmediate(() => pour(socket, piece, onSent)))
+}
+
 async function read (origin: string): Promise<{ readonly status: number, readonly text: string }> {
   const reply = await request(`${origin}/read/1`, { headers: { host: 'shop.example', 'x-id': 'r-1', 'x-object': '1', 'x-deadline': '1500' } })
   return { status: reply.statusCode, text: await reply.body.text() }
@@ -86,12 +93,7 @@
     socket.on('error', () => {})
     socket.on('data', () => {
       socket.write('HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-signature: s\r\n')
-      const more = (): void => {
-        if (socket.destroyed) return
-        sent += 10_000
-        socket.write(`x-more: ${'x'.repeat(10_000)}\r\n`, () => setImmediate(more))
-      }
-      more()
+      pour(socket, `x-more: ${'x'.repeat(10_000)}\r\n`, bytes => { sent += bytes })
     })
   })
   expect(await read(gateway.origin)).toMatchObject({ status: 502 })
@@ -113,12 +115,7 @@
     socket.once('data', () => {
       socket.write(head, 'latin1')
       const filler = head.includes('102') ? head : 'x'.repeat(10_000)
-      const more = (): void => {
-        if (socket.destroyed) return
-        sent += filler.length
-        socket.write(filler, () => setImmediate(more))
-      }
-      more()
+      pour(socket, filler, bytes => { sent += bytes })
     })
   })
   const { status } = await read(gateway.origin)
@@ -136,12 +133,7 @@
     socket.on('close', () => { isClosed = true })
     socket.once('data', () => {
       socket.write('HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n')
-      const more = (): void => {
-        if (socket.destroyed) return
-        sent += 10_000
-        socket.write(`2710\r\n${'x'.repeat(10_000)}\r\n`, () => setImmediate(more))
-      }
-      more()
+      pour(socket, `2710\r\n${'x'.repeat(10_000)}\r\n`, bytes => { sent += bytes })
     })
   })
   const [host, port] = gateway.addresses.caller.split(':')
--- a/packages/steering/src/instance-directory.ts
+++ b/packages/steering/src/instance-directory.ts
@@ -113,6 +113,13 @@
     return row.entry.id === self.id ? selfAccepts() : row.accepts && isLive(row, now)
   }
 
+  function update (row: Row, { accepts, isReading }: InstanceReport, answeredAt: number): void {
+    row.answeredAt = answeredAt
+    row.hasFailed = false
+    row.accepts = accepts
+    row.isReading = isReading
+  }
+
   function others (): readonly Row[] {
     return [...rows.values()].filter(({ entry }) => entry.id !== self.id)
   }
@@ -138,13 +145,9 @@
     },
     ids: () => [...rows.keys()],
     peers: () => others().map(({ entry }) => entry),
-    recordReport: (id, { accepts, isReading }, now) => {
+    recordReport: (id, report, now) => {
       const row = rows.get(id)
-      if (row === undefined) return
-      row.answeredAt = now
-      row.hasFailed = false
-      row.accepts = accepts
-      row.isReading = isReading
+      if (row !== undefined) update(row, report, now)
     },
     recordFailure: id => {
       const row = rows.get(id)
@@ -154,14 +157,11 @@
     sightings: now => others().filter(row => row.entry.region === self.region && isLive(row, now))
       .map(({ entry: { id }, addressHash, answeredAt, accepts, isReading }) => ({ id, addressHash, ageMs: Math.ceil(now - answeredAt), accepts, isReading })),
     recordSightings: (sightings, askedAt) => {
-      for (const { id, addressHash, ageMs, accepts, isReading } of sightings) {
-        const row = rows.get(id)
+      for (const sighting of sightings) {
+        const row = rows.get(sighting.id)
         // The age counts from before the answer was made, so a sighting never looks newer than it is.
-        if (row === undefined || id === self.id || row.addressHash !== addressHash || askedAt - ageMs <= row.answeredAt) continue
-        row.answeredAt = askedAt - ageMs
-        row.hasFailed = false
-        row.accepts = accepts
-        row.isReading = isReading
+        const seenAt = askedAt - sighting.ageMs
+        if (row !== undefined && row.addressHash === sighting.addressHash && seenAt > row.answeredAt) update(row, sighting, seenAt)
       }
     },
     peerCandidates: now => others().map(row => ({ id: row.entry.id, region: row.entry.region, isLive: isLive(row, now), isReading: row.isReading, hasFailed: row.hasFailed })),
--- a/packages/steering/src/peer-selection.ts
+++ b/packages/steering/src/peer-selection.ts
@@ -8,7 +8,9 @@
  *   instances of a region; in a larger region, these are the sources of the rest.
  * - others: a few of all instances in turn, which finds those that answer again and carries news between regions.
  */
+import type { OrderedInstance } from './instance-order.js'
 import { hash32 } from '@arbutustray/core'
+import { isBefore, orderInstance } from './instance-order.js'
 
 /** Another instance, as this one knows it. */
 export interface PeerCandidate {
@@ -36,29 +38,24 @@
 /** Sources of an instance that does not copy from a reader; the second one covers the failure of the first. */
 const RELAYS = 2
 
-interface RankedPeer extends PeerCandidate {
+interface RankedPeer extends PeerCandidate, OrderedInstance {
   /** Order of the peer in this instance's own preference. */
   readonly preference: number
-  /** Order in which all instances see the instances of a region alike. */
-  readonly order: number
 }
 
-const isBefore = (a: { readonly id: string, readonly order: number }, b: { readonly id: string, readonly order: number }): boolean =>
-  a.order < b.order || (a.order === b.order && a.id < b.id)
-
 /** Peers that are live and answer first, each part in the order of preference. */
 function byPreference (a: RankedPeer, b: RankedPeer): number {
   return Number(b.isLive && !b.hasFailed) - Number(a.isLive && !a.hasFailed) || a.preference - b.preference
 }
 
 export function createPeerSelection (self: { readonly id: string, readonly region: string }): PeerSelection {
-  const own = { id: self.id, order: hash32(self.id) }
-  const hashes = new Map<string, { readonly preference: number, readonly order: number }>()
+  const own = orderInstance(self.id)
+  const hashes = new Map<string, OrderedInstance & { readonly preference: number }>()
   let turn = 0
 
   function rank (peer: PeerCandidate): RankedPeer {
     let known = hashes.get(peer.id)
-    if (known === undefined) hashes.set(peer.id, known = { preference: hash32(`${self.id}\n${peer.id}`), order: hash32(peer.id) })
+    if (known === undefined) hashes.set(peer.id, known = { ...orderInstance(peer.id), preference: hash32(`${self.id}\n${peer.id}`) })
     return { ...peer, ...known }
   }
 
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -239,8 +239,8 @@
         }
       }
       if (request === undefined || request.attempts.size > 0) return commands
-      if (event.cause === 'unsendable') return [...commands, ...finishWithFailure(request, 'unsendable')]
-      return [...commands, ...retryOrFail(request, request.possibleRuns > 0 ? 'outcome-unknown' : REFUSAL_AFTER[event.cause], now)]
+      const reason = request.possibleRuns > 0 ? 'outcome-unknown' : REFUSAL_AFTER[event.cause]
+      return [...commands, ...(event.cause === 'unsendable' ? finishWithFailure(request, reason) : retryOrFail(request, reason, now))]
     },
     onAttemptAnswered: (event, now) => {
       const ended = endAttempt(event.attemptId)
--- a/packages/steering/src/store-readers.ts
+++ b/packages/steering/src/store-readers.ts
@@ -5,7 +5,7 @@
  * too few readers reads the store itself.
  */
 import type { PeerCandidate } from './peer-selection.js'
-import { hash32 } from '@arbutustray/core'
+import { isBefore, orderInstance } from './instance-order.js'
 
 /** Readers that an instance must see to rely on them. A single one may have lost the store without noticing it. */
 const MIN_READERS = 2
@@ -15,9 +15,6 @@
   const readers = others.filter(({ isLive, isReading }) => isLive && isReading)
   if (readers.length < Math.min(MIN_READERS, others.length)) return true
   if (readers.length === 0) return true
-  const ownHash = hash32(self.id)
-  return !others.some(({ id, region, isLive }) => {
-    const otherHash = hash32(id)
-    return isLive && region === self.region && (otherHash < ownHash || (otherHash === ownHash && id < self.id))
-  })
+  const own = orderInstance(self.id)
+  return !others.some(({ id, region, isLive }) => isLive && region === self.region && isBefore(orderInstance(id), own))
 }
--- a/packages/steering/tests/refusal.test.ts
+++ b/packages/steering/tests/refusal.test.ts
@@ -46,3 +46,12 @@
   }
   expect([...steering.upstreams()][0].suspectSince).toBeDefined()
 })
+
+it('does not say that a request was not sent if an earlier attempt may have run', () => {
+  const steering = startSteering([upstreamEntry('u1'), upstreamEntry('u2', { address: '10.0.0.1:9' })])
+  const [first] = steering.handle(arrival('r', '/read/1'))
+  if (first?.type !== 'dispatch') throw new Error('not dispatched')
+  const second = steering.handle({ type: 'attempt-broken', attemptId: first.attemptId, cause: 'reset' }).find(command => command.type === 'dispatch')
+  if (second === undefined) throw new Error('not dispatched again')
+  expect(reasonOf(steering.handle({ type: 'attempt-refused', attemptId: second.attemptId, cause: 'unsendable' }))).toBe('outcome-unknown')
+})
