--- a/review/standins/rig.mjs
+++ b/review/standins/rig.mjs
@@ -129,10 +129,15 @@
 /** A server of a service. `answer` gets each request that runs; by default it answers after `workMs`. */
 export class Upstream {
   #server
-  constructor ({ store, journal, id, service, zone, slots = 9, answer }) {
-    Object.assign(this, { store, journal, id, service, zone, slots, running: 0, runs: [] })
+  constructor ({ store, journal, id, service, zone, slots = 9, connectionLimit = 330, answer }) {
+    Object.assign(this, { store, journal, id, service, zone, slots, running: 0, runs: [], connections: 0 })
     this.answer = answer ?? (async exchange => exchange.succeed(`answer of ${id} to ${exchange.id}\n`))
     this.#server = createHttpServer({ keepAliveTimeout: 10_000 }, (request, response) => this.#handle(request, response))
+    this.#server.on('connection', socket => {
+      this.connections += 1
+      socket.once('close', () => { this.connections -= 1 })
+      if (this.connections > connectionLimit) socket.resetAndDestroy()
+    })
     this.#server.on('clientError', (_error, socket) => socket.destroy())
   }
 
@@ -178,13 +183,18 @@
       this.running += 1
       this.runs.push({ id, at: now(), method: request.method, path: request.url, body: Buffer.concat(chunks) })
       this.journal.note(`server ${this.id} runs ${id} ${request.method} ${request.url}`)
-      response.once('close', () => { this.running -= 1 })
+      let isRunning = true
+      const endRun = () => {
+        if (isRunning) this.running -= 1
+        isRunning = false
+      }
+      response.once('close', endRun)
       const succeed = body => {
         const bytes = Buffer.from(body)
         response.writeHead(200, { [ID]: id, [SIGNATURE]: sign(id, 200, bytes), 'arbutustray-server-load': this.#load(), 'content-length': bytes.length }).end(bytes)
       }
       const load = this.#load()
-      Promise.resolve(this.answer({ id, request, response, succeed, load, sign: body => sign(id, 200, body) })).catch(() => response.destroy())
+      Promise.resolve(this.answer({ id, request, response, succeed, endRun, load, sign: body => sign(id, 200, body) })).catch(() => response.destroy())
     })
   }
 }
@@ -271,6 +281,10 @@
     throw new Error(`${this.name} is not ready`)
   }
 
+  get pid () {
+    return this.#child.pid
+  }
+
   signal (name) {
     if (this.exit !== undefined) return
     this.journal.note(`${name} to process ${this.name}`)
@@ -296,8 +310,8 @@
 export async function send ({ address, path, method = 'GET', id = nextId(), body, deadlineMs = 4_000, headers = {}, socket: open, keep = false, readBytesPerS, onSent }) {
   const [host, port] = address.split(':')
   const socket = open ?? connect({ host, port: Number(port), noDelay: true })
-  socket.on('error', () => {})
   if (open === undefined) {
+    socket.on('error', () => {})
     const isConnected = await new Promise(resolve => { socket.once('connect', () => resolve(true)).once('close', () => resolve(false)) })
     if (!isConnected) return { id, outcome: 'no connection', sentAt: now(), endedAt: now() }
   }
