--- a/review/standins/rig.mjs
+++ b/review/standins/rig.mjs
@@ -205,12 +205,25 @@
   return /^run = "(.*)"$/m.exec(text)[1].split(' ')
 }
 
+/** Ports below the range from which the operating system takes those of outgoing connections. */
+const PORT_RANGE = { first: 20_000, count: 10_000 }
+
+async function isFree (port) {
+  return await new Promise(resolve => {
+    const server = createServer().once('error', () => resolve(false)).listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
+
+const takenPorts = new Set()
+
 async function freePorts (count) {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise(resolve => {
-    const server = createServer().listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map(server => server.address().port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  const ports = []
+  while (ports.length < count) {
+    const port = PORT_RANGE.first + Math.floor(Math.random() * PORT_RANGE.count)
+    if (takenPorts.has(port) || !await isFree(port)) continue
+    takenPorts.add(port)
+    ports.push(port)
+  }
   return ports
 }
 
