Refuse requests that may outlast a stopping instance

Cause: new requests were taken until 0.55 of the grace period, but the process ends 400 ms before its end, and admission did not know of it. A request with 4 s left was sent on when the process had 2.3 s.

Change: the begin of a stop is an event of the steering engine. A request whose answer is expected after the end is refused with 503 and a short Retry-After; from 0.4 of the grace period (at most 2.5 s) on, so is one whose own time is not up before the end, since its upstream may use all of it.

Conclusion: what is taken late can end before the process; the caller of anything else learns at once that another instance must serve it.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -8,7 +8,7 @@
 import type { HttpExchange } from './http-exchange.js'
 import type { HttpListener } from './http-listener.js'
 import { firstValue } from '@arbutustray/http'
-import { backlogFor, DEFAULT_RETRY_AFTER_MS, POSSIBLY_RUN, REFUSAL_STATUS } from '@arbutustray/steering'
+import { backlogFor, DEFAULT_RETRY_AFTER_MS, POSSIBLY_RUN, REFUSAL_STATUS, STOPPING_RETRY_AFTER_MS } from '@arbutustray/steering'
 import { createHttpListener } from './http-listener.js'
 import { createIntakeQueue } from './intake-queue.js'
 import { filterRequestHeaders, parseWholeNumber } from './message-headers.js'
@@ -59,8 +59,6 @@
 const KEEP_ALIVE_MARGIN_MS = 1_000
 /** Interval at which Node checks connections for an exceeded header timeout. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000
-/** `retry-after` of a request refused during shutdown; short because another instance will serve the retry. */
-const SHUTDOWN_RETRY_AFTER_MS = 50
 const MS_PER_SECOND = 1_000
 /** Metrics label of requests that match no route. */
 const UNKNOWN_ROUTE_LABEL = 'unknown'
@@ -161,7 +159,7 @@
     const receivedAt = performance.now()
     const limits = options.limits()
     if (options.shouldCloseConnections()) response.setHeader('connection', 'close')
-    if (options.isClosing()) return reject(response, 503, SHUTDOWN_RETRY_AFTER_MS)
+    if (options.isClosing()) return reject(response, 503, STOPPING_RETRY_AFTER_MS)
     if (request.url?.startsWith('/') !== true) return reject(response, 400)
     if (limits !== undefined && request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0) > limits.headerBytes) {
       return reject(response, 431)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,7 +227,7 @@
 
   async function stop (onStopped?: () => void): Promise<void> {
     isStopping = true
-    stopSchedule.begin(performance.now())
+    emit({ type: 'stop-begun', ...stopSchedule.begin(performance.now()) })
     rateLimitedLog.log('gateway-stopping', { pending: callerServer.inFlight() })
     while (phase() === 'serving' || phase() === 'leaving') {
       callerServer.listener.prepareToClose(stopSchedule.maxClosingMs)
--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -5,6 +5,8 @@
  * can't be answered in time is therefore refused at once, with the time after which its caller should retry. Requests
  * of lower priority are refused first.
  */
+import type { StopLimits } from './stop-schedule.js'
+
 export interface Admission {
   readonly admitted: boolean
   /** Time after which the caller of a refused request should retry, in milliseconds. */
@@ -39,6 +41,8 @@
 const MIN_RETRY_AFTER_MS = 200
 /** Longest time after which a refused caller is asked to retry, in milliseconds. */
 export const MAX_RETRY_AFTER_MS = 2_000
+/** Retry time for a refusal by an instance that stops; short because another instance serves the retry. */
+export const STOPPING_RETRY_AFTER_MS = 50
 /** Retry time for a refusal without an estimate of when a slot becomes free, in milliseconds. */
 export const DEFAULT_RETRY_AFTER_MS = 300
 
@@ -48,3 +52,11 @@
   const excessMs = expectedMs - Math.min(remainingMs, limitMs)
   return { admitted: excessMs <= 0, retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, excessMs)) }
 }
+
+/**
+ * Whether a stopping instance may take a request. Late in the stop the request's own time must be up before the process
+ * ends, because its upstream may take all of it.
+ */
+export function canEndBeforeStop ({ guaranteedFrom, endsAt }: StopLimits, { expectedAt, expiresAt }: { readonly expectedAt: number, readonly expiresAt: number }, now: number): boolean {
+  return (now < guaranteedFrom ? expectedAt : expiresAt) <= endsAt
+}
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -2,6 +2,7 @@
  * Events that the program around the steering engine passes to it.
  */
 import type { Deployment } from './deployment.js'
+import type { StopLimits } from './stop-schedule.js'
 import type { UpstreamDemand, UpstreamEntry } from './upstream.js'
 import type { UpstreamStatements } from './upstream-statements.js'
 
@@ -120,6 +121,9 @@
   readonly demands: readonly UpstreamDemand[]
 }
 
+/** The instance begins a planned stop. */
+export interface StopBegun extends StopLimits { readonly type: 'stop-begun' }
+
 export type SteeringEvent =
-  | Tick | RequestArrived | AttemptRefused | AttemptAnswered | AttemptBroken | RequestCancelled | UpstreamProbed
+  | Tick | StopBegun | RequestArrived | AttemptRefused | AttemptAnswered | AttemptBroken | RequestCancelled | UpstreamProbed
   | ZoneReached | DeploymentReceived | UpstreamsListed | UpstreamChanged | EvacuationsReceived | InstancesCounted | PeerDemandsReported
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -9,6 +9,7 @@
 import type { PlacementBasis, Respond, SteeringCommand } from './command.js'
 import type { Route } from './deployment.js'
 import type { AttemptAnswered, AttemptBroken, AttemptRefused, RequestArrived } from './event.js'
+import type { StopLimits } from './stop-schedule.js'
 import type { OutlierDetection } from './outlier-detection.js'
 import type { Candidate, Placement } from './placement.js'
 import type { Refusal } from './refusal.js'
@@ -19,7 +20,7 @@
 import type { StatementRecorder } from './upstream-statements.js'
 import type { UpstreamTable } from './upstream-table.js'
 import type { ZoneRoundTrips } from './zone-round-trips.js'
-import { admit, DEFAULT_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS } from './admission.js'
+import { admit, canEndBeforeStop, DEFAULT_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS, STOPPING_RETRY_AFTER_MS } from './admission.js'
 import { IS_IDEMPOTENT } from './deployment.js'
 import { createExpectedDuration } from './expected-duration.js'
 import { recordMeasuredSlowdown } from './load-estimate.js'
@@ -34,6 +35,8 @@
   readonly onAttemptAnswered: (event: AttemptAnswered, now: number) => readonly SteeringCommand[]
   readonly onAttemptBroken: (event: AttemptBroken, now: number) => readonly SteeringCommand[]
   readonly onRequestCancelled: (requestId: string, now: number) => readonly SteeringCommand[]
+  /** From now on, requests that may outlast the process are refused. */
+  readonly onStopBegun: (limits: StopLimits) => void
   /** Ends the requests whose time is up and hedges slow ones. */
   readonly onTick: (now: number) => readonly SteeringCommand[]
   /** Number of requests without a final answer. */
@@ -91,6 +94,7 @@
   const trafficSplit = createTrafficSplit()
   const usualDeadline = createUsualDeadline()
   let lastAttemptNumber = 0
+  let stopLimits: StopLimits | undefined
 
   function createRefusal (requestId: string, route: Route | undefined, reason: Refusal, retryAfterMs?: number): Respond {
     return { type: 'respond', requestId, route: route?.name, status: REFUSAL_STATUS[reason], reason, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
@@ -228,6 +232,9 @@
       retryBudget.recordRequest(request.service, now)
       const choice = chooseUpstream(request, now)
       if (choice === undefined) return [createRefusal(event.requestId, route, 'no-upstream', retryAfterMsFor(request.service, now))]
+      if (stopLimits !== undefined && !canEndBeforeStop(stopLimits, { expectedAt: now + choice.expectedMs, expiresAt: request.expiresAt }, now)) {
+        return [createRefusal(event.requestId, route, 'stopping', STOPPING_RETRY_AFTER_MS)]
+      }
       const { admitted, retryAfterMs } = admit({
         expectedMs: choice.expectedMs,
         remainingMs: request.expiresAt - now,
@@ -298,6 +305,7 @@
       // A non-idempotent request is left to finish: if it were cancelled, it could have run in part, unknown to its caller.
       return IS_IDEMPOTENT[request.route.kind] ? cancelAttempts(request) : []
     },
+    onStopBegun: limits => { stopLimits = limits },
     onTick: now => {
       const commands: SteeringCommand[] = []
       for (const request of requests.values()) {
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -193,6 +193,10 @@
         ...ended.flatMap(zone => endEvacuation(zone, now))
       ]
     },
+    'stop-begun': event => {
+      lifecycle.onStopBegun(event)
+      return NO_COMMANDS
+    },
     'instances-counted': event => {
       instanceShare.update(event.ids)
       return NO_COMMANDS
