Keep small pieces of an answer in common blocks

Cause: each piece of an answer's body was a buffer of its own, which takes over a hundred bytes of heap, and one write to the caller. 256 KiB of content in pieces of one byte needed tens of megabytes. The buffered answers together had no limit.

Change: PieceBuffer copies pieces into blocks of up to 16 KiB; the pieces of one read are written together while an answer is streamed; all buffered answers together are limited to 64 MiB.

Evidence: answer-memory.test.ts failed before (8 answers of 250,000 bytes held 216 MB more heap where 64 are allowed).

That the users' upstreams sent small pieces is suspected, their record does not show it.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -2,70 +2,122 @@
  * One upstream's answer to a request. It is buffered, so that an answer that breaks off can be replaced by that of another
  * attempt; only an answer larger than the buffer is streamed to the caller.
  */
+import type { AnswerMemory } from './answer-memory.js'
 import type { ServerResponse } from 'node:http'
+import { PieceBuffer } from './piece-buffer.js'
 
 /** Size above which an answer is streamed instead of buffered completely. */
 export const ANSWER_BUFFER_BYTES = 262_144
 
+export interface AnswerOptions {
+  readonly status: number
+  readonly headers: readonly string[]
+  /**
+   * The answer has no stated length and ends when the connection closes. A truncated answer looks the same, so it is
+   * relayed without a length, too.
+   */
+  readonly isCloseDelimited: boolean
+  readonly memory: AnswerMemory
+  /** Pauses and resumes reading the answer while it is streamed. */
+  readonly pause: () => void
+  readonly resume: () => void
+  /** Called when the caller's connection closes before the end. */
+  readonly onAbandoned: () => void
+}
+
 export class Answer {
-  readonly #chunks: Buffer[] = []
-  #bytes = 0
-  #complete = false
+  readonly #pieces = new PieceBuffer()
+  /** Bytes that are counted in the memory of all answers. */
+  #countedBytes = 0
+  #isComplete = false
+  #isFlushScheduled = false
   #response: ServerResponse | undefined
 
-  /**
-   * `isCloseDelimited`: the answer has no stated length and ends when the connection closes. A truncated answer looks
-   * the same, so it is relayed without a length, too. `onAbandoned`: the caller's connection closed before the end.
-   */
-  constructor (
-    readonly status: number, readonly headers: readonly string[], readonly isCloseDelimited: boolean, readonly onAbandoned: () => void
-  ) {}
+  constructor (readonly options: AnswerOptions) {}
 
-  /**
-   * Adds a chunk. Returns false if reading should pause. While streaming, `onDrain` is called when it may resume; when
-   * the answer exceeds the buffer before it is relayed, the caller of `write` must resume reading itself.
-   */
-  write (chunk: Buffer, onDrain: () => void): boolean {
-    if (this.#response === undefined) {
-      this.#chunks.push(Buffer.from(chunk))
-      this.#bytes += chunk.length
-      return this.#bytes <= ANSWER_BUFFER_BYTES
-    }
-    if (this.#response.write(chunk)) return true
-    this.#response.once('drain', onDrain)
-    return false
+  get status (): number {
+    return this.options.status
   }
 
+  get isRelayed (): boolean {
+    return this.#response !== undefined
+  }
+
+  /** Whether it is too large to be buffered, alone or together with the others. */
   get exceedsBuffer (): boolean {
-    return this.#bytes > ANSWER_BUFFER_BYTES
+    return this.#pieces.bytes > ANSWER_BUFFER_BYTES || this.options.memory.isFull
+  }
+
+  write (piece: Buffer): void {
+    this.#pieces.push(piece)
+    this.#count(piece.length)
+    if (this.#response === undefined || this.#isFlushScheduled) return
+    // A read may bring thousands of pieces; they are written together.
+    this.#isFlushScheduled = true
+    queueMicrotask(() => {
+      this.#isFlushScheduled = false
+      this.#flush()
+    })
   }
 
   end (): void {
-    this.#complete = true
-    this.#response?.end()
+    this.#isComplete = true
+    if (this.#response === undefined) return
+    this.#flush()
+    this.#response.end()
   }
 
   /** Handles an answer that broke off: if it is being streamed, destroys the caller's connection so that it does not look complete. */
   fail (): void {
     this.#response?.destroy()
+    this.discard()
+  }
+
+  /** Releases the body of an answer that will not be relayed. */
+  discard (): void {
+    this.#pieces.take()
+    this.#count(-this.#countedBytes)
   }
 
   relay (response: ServerResponse, extraHeaders: readonly string[]): void {
+    const { status, isCloseDelimited, onAbandoned } = this.options
     this.#response = response
-    const headers = [...this.headers, ...extraHeaders]
-    if (this.isCloseDelimited) {
+    const headers = [...this.options.headers, ...extraHeaders]
+    if (isCloseDelimited) {
       response.useChunkedEncodingByDefault = false
       if (!extraHeaders.includes('connection')) headers.push('connection', 'close')
     }
-    if (!this.#complete) {
-      response.once('close', () => { if (!this.#complete) this.onAbandoned() })
-      response.writeHead(this.status, headers)
-      for (const chunk of this.#chunks) response.write(chunk)
-      return
+    response.once('close', () => {
+      if (!this.#isComplete) onAbandoned()
+      this.discard()
+    })
+    if (!this.#isComplete) {
+      response.writeHead(status, headers)
+      return this.#flush()
     }
     const hasLength = headers.some((name, index) => index % 2 === 0 && name === 'content-length')
-    if (!hasLength && !this.isCloseDelimited && this.status !== 204 && this.status !== 304) headers.push('content-length', String(this.#bytes))
-    response.writeHead(this.status, headers)
-    response.end(this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks))
+    if (!hasLength && !isCloseDelimited && status !== 204 && status !== 304) headers.push('content-length', String(this.#pieces.bytes))
+    const blocks = this.#pieces.take()
+    response.writeHead(status, headers)
+    response.end(blocks.length === 1 ? blocks[0] : Buffer.concat(blocks))
+  }
+
+  /** Writes what was read to the caller, and pauses reading if the caller does not keep up. */
+  #flush (): void {
+    const response = this.#response
+    if (response === undefined) return
+    let mayWriteMore = true
+    for (const block of this.#pieces.take()) mayWriteMore = response.write(block)
+    if (mayWriteMore) return this.#count(-this.#countedBytes)
+    this.options.pause()
+    response.once('drain', () => {
+      this.#count(-this.#countedBytes)
+      this.options.resume()
+    })
+  }
+
+  #count (bytes: number): void {
+    this.#countedBytes += bytes
+    this.options.memory.add(bytes)
   }
 }
--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -5,6 +5,7 @@
  */
 import type { AttemptBroken, AttemptRefused, Dispatch, SteeringEvent, UpstreamStatements } from '@arbutustray/steering'
 import type { Dispatcher } from 'undici'
+import type { AnswerMemory } from './answer-memory.js'
 import type { Dialect } from './dialect.js'
 import type { HttpExchange } from './http-exchange.js'
 import { firstValue } from '@arbutustray/http'
@@ -21,6 +22,7 @@
   readonly command: Dispatch
   readonly exchange: HttpExchange
   readonly dialect: Dialect
+  readonly answerMemory: AnswerMemory
   readonly emit: (event: SteeringEvent) => void
   /** Whether the error event of a connection to the upstream is being handled right now. */
   readonly isHandlingConnectionError: () => boolean
@@ -82,7 +84,15 @@
     }
     const hasKnownEnd = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || STATUSES_WITHOUT_BODY.has(status) ||
       exchange.request.method === 'HEAD'
-    this.#answer = new Answer(status, filterAnswerHeaders(headers), !hasKnownEnd, () => this.#abandon())
+    this.#answer = new Answer({
+      status,
+      headers: filterAnswerHeaders(headers),
+      isCloseDelimited: !hasKnownEnd,
+      memory: this.options.answerMemory,
+      pause: () => controller.pause(),
+      resume: () => controller.resume(),
+      onAbandoned: () => this.#abandon()
+    })
     exchange.answers.set(this.options.command.attemptId, this.#answer)
   }
 
@@ -93,14 +103,13 @@
       if (this.#discardedBytes > MAX_DISCARDED_BYTES) controller.abort(new Error('refused answer is too long'))
       return
     }
-    const mayReadMore = answer.write(chunk, () => controller.resume())
+    answer.write(chunk)
     if (answer.exceedsBuffer && !this.#isAnswerEmitted) {
-      // `emit` normally calls `Answer.relay` synchronously, so the answer is streaming when the microtask resumes reading.
-      controller.pause()
+      // `emit` normally calls `Answer.relay` synchronously, which pauses reading if the caller does not keep up.
       this.#emitAnswered(answer)
       this.#limitStream(answer)
-      queueMicrotask(() => controller.resume())
-    } else if (!mayReadMore) controller.pause()
+      if (!answer.isRelayed) controller.pause()
+    }
   }
 
   onResponseEnd (): void {
@@ -174,6 +183,8 @@
   #end (end: AttemptEnd, detail: string): void {
     this.#ended = true
     clearTimeout(this.#streamTimer)
+    // Nothing else releases an answer whose caller has left.
+    if (end !== 'finished' || this.options.exchange.response.closed) this.#answer?.discard()
     this.options.onEnd(end, detail)
   }
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -122,6 +122,7 @@
   /** Called when the response was sent completely or the caller closed its connection. */
   function onResponseClose (exchange: HttpExchange): void {
     exchanges.delete(exchange.id)
+    exchange.answers.forEach(answer => answer.discard())
     if (exchange.body !== undefined) bufferedBodyBytes -= exchange.body.length
     if (exchange.isSettled) return
     exchange.isSettled = true
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -10,6 +10,7 @@
 import type { HttpExchange } from './http-exchange.js'
 import { Pool, request } from 'undici'
 import { firstValue } from '@arbutustray/http'
+import { createAnswerMemory } from './answer-memory.js'
 import { AttemptHandler } from './attempt-handler.js'
 import { createConnector } from './connector.js'
 import { parseWholeNumber } from './message-headers.js'
@@ -43,6 +44,7 @@
 
 export function createUpstreamClient (options: UpstreamClientOptions): UpstreamClient {
   const { dialect, exchanges, emit, telemetry } = options
+  const answerMemory = createAnswerMemory()
   const attempts = new Map<string, AttemptHandler>()
   const pools = new Map<string, UpstreamPool>()
 
@@ -107,6 +109,7 @@
         command,
         exchange,
         dialect,
+        answerMemory,
         emit,
         isHandlingConnectionError: connector.isHandlingError,
         onEnd: (end, detail) => {
