Cancel large answers that nobody reads

Cause: an answer above the buffer of 256 KiB was reported as answered while it was still read. If the engine retried the request, or its caller had left, nothing relayed or ended that answer. An attempt for a caller who had left was never ended if its upstream stayed silent.

Ruled out: the timer for streamed answers; it only acted on answers that were being relayed.

Change: `attempt-answered` says whether the answer is partial. The engine relays a partial failure at once if the request is not sent again, else cancels it; it cancels partial answers of callers who have left, and their attempts at the request's time. The gateway ends a large answer that is not being relayed.

Conclusion: every large answer is either being relayed or closed.

--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -108,7 +108,7 @@
       // `emit` normally calls `Answer.relay` synchronously, which pauses reading if the caller does not keep up.
       this.#emitAnswered(answer)
       this.#limitStream(answer)
-      if (!answer.isRelayed) controller.pause()
+      if (!answer.isRelayed) this.#abort('large answer that is not relayed')
     }
   }
 
@@ -164,7 +164,7 @@
     if (this.#isAnswerEmitted) return
     this.#isAnswerEmitted = true
     const { command, emit } = this.options
-    emit({ type: 'attempt-answered', attemptId: command.attemptId, status: answer.status, ...this.#statements })
+    emit({ type: 'attempt-answered', attemptId: command.attemptId, status: answer.status, isPartial: !this.#ended, ...this.#statements })
   }
 
   #emitRefused (cause: AttemptRefused['cause'], detail: string = cause): void {
--- a/packages/gateway/tests/real/answer-memory.test.ts
+++ b/packages/gateway/tests/real/answer-memory.test.ts
@@ -69,3 +69,45 @@
   for (const socket of open) socket.end('0\r\n\r\n')
   await Promise.all(calls)
 })
+
+/** Sends the part of an answer that exceeds the buffer and leaves it without an end. */
+function sendEndless (socket: Socket, id: string, status: number): void {
+  socket.write(head(id, status))
+  for (let part = 0; part < 8; part += 1) socket.write(`10000\r\n${'?'.repeat(65_536)}\r\n`)
+}
+
+async function closed (socket: Socket): Promise<boolean> {
+  return await Promise.race([new Promise<boolean>(resolve => socket.once('close', () => resolve(true))), wait(1_500).then(() => false)])
+}
+
+it('closes a failed answer without an end when the request goes to another upstream, guarding against answers that stay in memory', async () => {
+  const failed: Array<Promise<boolean>> = []
+  const origin = await start((socket, id) => {
+    if (failed.length > 0) {
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok`)
+      return
+    }
+    failed.push(closed(socket))
+    sendEndless(socket, id, 500)
+  })
+  expect(await call(origin, 'r-1')).toEqual({ status: 200, bytes: 2 })
+  expect(await Promise.all(failed)).toEqual([true])
+})
+
+it('closes an answer without an end to a non-idempotent request whose caller has left, guarding against answers that stay in memory', async () => {
+  const left = new AbortController()
+  let isClosed: Promise<boolean> | undefined
+  const origin = await start((socket, id) => {
+    isClosed = closed(socket)
+    left.abort()
+    setTimeout(() => sendEndless(socket, id, 200), 100)
+  })
+  await expect(request(`${origin}/buy/1`, { method: 'POST', body: 'x', signal: left.signal, headers: { host: 'shop.example', 'x-id': 'r-1', 'x-object': '1', 'x-deadline': '15000' } })).rejects.toThrow()
+  expect(await isClosed).toBe(true)
+})
+
+it('relays a large failed answer if the request can\'t be sent again, guarding against a caller that loses the upstream\'s own answer', async () => {
+  const bytes = 400_000
+  const origin = await start((socket, id) => { socket.write(`HTTP/1.1 500 X\r\nx-id: ${id}\r\nx-signature: s\r\ncontent-length: ${bytes}\r\n\r\n${'?'.repeat(bytes)}`) })
+  expect(await call(origin, 'r-1')).toEqual({ status: 500, bytes })
+})
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -44,6 +44,8 @@
   readonly type: 'attempt-answered'
   readonly attemptId: string
   readonly status: number
+  /** The answer exceeds the buffer limit and is still being read, so it must be relayed at once or cancelled. */
+  readonly isPartial?: boolean
 }
 
 /** The request was sent but no complete answer came back; whether it ran is unknown. */
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -37,7 +37,7 @@
   readonly onRequestCancelled: (requestId: string, now: number) => readonly SteeringCommand[]
   /** From now on, requests that may outlast the process are refused. */
   readonly onStopBegun: (limits: StopLimits) => void
-  /** Ends the requests whose time is up and hedges slow ones. */
+  /** Ends the requests and abandoned attempts whose time is up, and hedges slow requests. */
   readonly onTick: (now: number) => readonly SteeringCommand[]
   /** Number of requests without a final answer. */
   readonly pendingCount: () => number
@@ -89,6 +89,8 @@
 export function createRequestLifecycle (dependencies: RequestLifecycleDependencies): RequestLifecycle {
   const { upstreams, outlierDetection, placement, coldRateLimit, requestLimit, statements, retryBudget, roundTrips } = dependencies
   const requests = new Map<string, PendingRequest>()
+  /** Non-idempotent requests whose callers have left, with open attempts. */
+  const abandoned = new Set<PendingRequest>()
   const attempts = new Map<string, Attempt>()
   const expectedDuration = createExpectedDuration()
   const trafficSplit = createTrafficSplit()
@@ -113,10 +115,7 @@
   }
 
   function cancelAttempts (request: PendingRequest): readonly SteeringCommand[] {
-    return [...request.attempts.keys()].map(attemptId => {
-      endAttempt(attemptId)
-      return { type: 'cancel', attemptId }
-    })
+    return [...request.attempts.keys()].filter(attemptId => endAttempt(attemptId) !== undefined).map(attemptId => ({ type: 'cancel', attemptId }))
   }
 
   /** Gives a request its final answer and cancels its open attempts. */
@@ -193,6 +192,16 @@
     return retryOrFail(request, reason, now)
   }
 
+  /** Handles the answer of an upstream that failed to execute an idempotent request. */
+  function handleFailedAnswer (request: PendingRequest, { attemptId, isPartial }: AttemptAnswered, now: number): readonly SteeringCommand[] {
+    const earlierErrorId = request.errorAttemptId
+    request.errorAttemptId = attemptId
+    const commands = handleFailedAttempt(request, 'outcome-unknown', now)
+    if (isPartial !== true || commands.some(({ type }) => type === 'relay')) return commands
+    request.errorAttemptId = earlierErrorId
+    return [{ type: 'cancel', attemptId }, ...commands]
+  }
+
   function createRequest (event: RequestArrived, route: Route): PendingRequest {
     const timeoutMs = Math.min(route.timeoutMs, (event.deadlineMs ?? Infinity) - ANSWER_RESERVE_MS)
     return {
@@ -278,12 +287,11 @@
           expectedDuration.record(request.route, workMs)
         }
       }
-      if (request === undefined) return notes
+      if (request === undefined) return event.isPartial === true ? [...notes, { type: 'cancel', attemptId: event.attemptId }] : notes
       if (!isFailure || !IS_IDEMPOTENT[request.route.kind]) {
         return [...notes, ...finish(request, { type: 'relay', requestId: request.id, attemptId: event.attemptId, route: request.route.name })]
       }
-      request.errorAttemptId = event.attemptId
-      return [...notes, ...handleFailedAttempt(request, 'outcome-unknown', now)]
+      return [...notes, ...handleFailedAnswer(request, event, now)]
     },
     onAttemptBroken: (event, now) => {
       const ended = endAttempt(event.attemptId)
@@ -303,11 +311,18 @@
       if (request === undefined) return []
       requests.delete(requestId)
       // A non-idempotent request is left to finish: if it were cancelled, it could have run in part, unknown to its caller.
-      return IS_IDEMPOTENT[request.route.kind] ? cancelAttempts(request) : []
+      if (IS_IDEMPOTENT[request.route.kind]) return cancelAttempts(request)
+      abandoned.add(request)
+      return []
     },
     onStopBegun: limits => { stopLimits = limits },
     onTick: now => {
       const commands: SteeringCommand[] = []
+      for (const request of abandoned) {
+        if (now < request.expiresAt) continue
+        abandoned.delete(request)
+        commands.push(...cancelAttempts(request))
+      }
       for (const request of requests.values()) {
         if (now >= request.expiresAt) commands.push(...finishWithFailure(request, 'timeout'))
         else {
