End a streamed answer at its request's time

Cause: the engine removes a request once it is answered, and an answer above the buffer counts as answered while it is read. Only the caller's deadline bounded it from then on.

Ruled out: the engine's timeout itself; answers that stop below 256 KiB end with 504 in time.

Change: the attempt's own end, the earlier one of timeout and deadline, also ends a streamed answer.

--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -148,10 +148,9 @@
     this.#abort('caller left during the answer')
   }
 
-  /** Breaks off an answer that is still being sent when the caller's deadline passes. */
+  /** Breaks off an answer that is still being sent when the request's time is up. */
   #limitStream (answer: Answer): void {
-    const { deadlineAt } = this.options.exchange
-    if (deadlineAt !== undefined) this.#streamTimer = setTimeout(() => answer.fail(), Math.max(0, deadlineAt - performance.now()))
+    this.#streamTimer = setTimeout(() => answer.fail(), Math.max(0, this.#expiresAt - performance.now()))
   }
 
   #abort (detail: string): void {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -101,7 +101,6 @@
       headers: filterRequestHeaders(request.rawHeaders, headers.connection, headerNames),
       body,
       receivedAt,
-      deadlineAt: deadlineMs === undefined ? undefined : receivedAt + deadlineMs,
       answers: new Map(),
       decisionLog: [],
       isSettled: false
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -16,8 +16,6 @@
   readonly headers: readonly string[]
   readonly body: Buffer | undefined
   readonly receivedAt: number
-  /** End of the time that the caller stated; `undefined` if it stated none. */
-  readonly deadlineAt: number | undefined
   /** Answers of upstreams by attempt id. */
   readonly answers: Map<string, Answer>
   /** Routing decisions and results of attempts, for the `decisions` field of the log. */
