Reset the caller's connection if an answer without a length breaks off

Cause: an answer above 256 KiB is streamed, and one without a length ends with its connection. A broken one was closed regularly. Besides, undici takes ECONNRESET for the end of such an answer; the flag that noted the error was gone if undici's parser was paused for a slow caller.

Ruled out: answers of up to 256 KiB, which are replaced by 502.

Change: the connector renames the code of a reset, so undici reports it as an error also while it is paused; a broken answer without a length resets its caller's connection. Framed answers are closed as before.

Evidence: three cases of broken-answer.test.ts failed before (a regular end after 300,000 bytes, and after a reset by the upstream, with a fast and a slow caller); all five pass. The test that resets a short answer passes unchanged.

Conclusion: fixed for breaks that the instance sees.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -4,6 +4,7 @@
  */
 import type { AnswerMemory } from './answer-memory.js'
 import type { ServerResponse } from 'node:http'
+import { Socket } from 'node:net'
 import { PieceBuffer } from './piece-buffer.js'
 
 /** Size above which an answer is streamed instead of buffered completely. */
@@ -67,8 +68,13 @@
     this.#response.end()
   }
 
-  /** Handles an answer that broke off: if it is being streamed, destroys the caller's connection so that it does not look complete. */
+  /**
+   * Handles an answer that broke off: if it is being streamed, closes the caller's connection. One without a length is
+   * reset, since it looks complete at a regular end.
+   */
   fail (): void {
+    const socket = this.#response?.socket
+    if (this.options.isCloseDelimited && socket instanceof Socket) socket.resetAndDestroy()
     this.#response?.destroy()
     this.discard()
   }
--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -24,8 +24,6 @@
   readonly dialect: Dialect
   readonly answerMemory: AnswerMemory
   readonly emit: (event: SteeringEvent) => void
-  /** Whether the error event of a connection to the upstream is being handled right now. */
-  readonly isHandlingConnectionError: () => boolean
   /** Called once. */
   readonly onEnd: (end: AttemptEnd, detail: string) => void
 }
@@ -115,10 +113,6 @@
   onResponseEnd (): void {
     const answer = this.#answer
     if (this.#ended || answer === undefined) return
-    if (this.options.isHandlingConnectionError()) {
-      answer.fail()
-      return this.#emitBroken('reset', undefined, 'reset before the end of an answer without a length')
-    }
     answer.end()
     this.#end('finished', String(answer.status))
     this.#emitAnswered(answer)
--- a/packages/gateway/src/connector.ts
+++ b/packages/gateway/src/connector.ts
@@ -1,6 +1,6 @@
 /**
- * Opens connections for undici. It has its own connect timeout because undici's has a resolution of one second, and it
- * tracks connection errors because undici treats a reset as the end of an answer without a length.
+ * Opens connections for undici. It has its own connect timeout because undici's has a resolution of one second. It changes
+ * the code of a reset, because undici treats one with the system's code as the end of an answer without a length.
  */
 import type { Socket } from 'node:net'
 import { connect } from 'node:net'
@@ -15,8 +15,6 @@
 
 export interface Connector {
   readonly open: (target: ConnectTarget, callback: ConnectCallback) => void
-  /** Whether the error event of one of the connections is being handled right now. */
-  readonly isHandlingError: () => boolean
 }
 
 /** Short because a handshake takes one round trip and a request that was not yet written can go to another upstream. */
@@ -24,20 +22,17 @@
 /** Idle time after which the operating system sends TCP keep-alive probes. */
 const TCP_KEEP_ALIVE_DELAY_MS = 2_000
 
-/** Creates a connector that calls `onConnected` with the duration of each handshake. */
-export function createConnector (onConnected: (durationMs: number) => void): Connector {
-  let isHandlingError = false
+const SYSTEM_RESET_CODE = 'ECONNRESET'
+const RESET_CODE = 'UPSTREAM_RESET'
 
-  function trackErrors (socket: Socket): void {
-    // Runs before undici's listener, which ends the answer in the same event.
-    socket.on('error', () => {
-      isHandlingError = true
-      queueMicrotask(() => { isHandlingError = false })
-    })
-  }
+/** Changes the code of a reset. Must be added before undici's listeners. */
+function renameReset (error: Error & { code?: string }): void {
+  if (error.code === SYSTEM_RESET_CODE) error.code = RESET_CODE
+}
 
+/** Creates a connector that calls `onConnected` with the duration of each handshake. */
+export function createConnector (onConnected: (durationMs: number) => void): Connector {
   return {
-    isHandlingError: () => isHandlingError,
     open: ({ hostname, port }, callback) => {
       const connectStartedAt = performance.now()
       const socket = connect({ host: hostname, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS })
@@ -50,7 +45,7 @@
       socket.once('connect', () => {
         clearTimeout(timer)
         socket.off('error', onError)
-        trackErrors(socket)
+        socket.on('error', renameReset)
         onConnected(performance.now() - connectStartedAt)
         callback(null, socket)
       })
