Reset answers without a length when the process ends

Cause: such an answer ends with its connection, and the system closes the connections of an ended process regularly.

Ruled out: chunks. An upstream may end such an answer early and regularly, and a last chunk vouches for it.

Change: while an answer without a length is passed on that the system may not take at once (more than 16 KiB or incomplete), its caller's connection has SO_LINGER with a time of zero, so that any close resets it, and the option is removed when the system has taken the whole answer. Node has no setting for it; koffi calls the C library, loaded at the first such answer. Without it, such an answer is sent in chunks.

Conclusion: the end of the process shows. A caller on libuv may still take a reset that arrives with data for a regular end, which is its own fault.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -5,17 +5,20 @@
 import type { AnswerMemory } from './answer-memory.js'
 import type { ServerResponse } from 'node:http'
 import { Socket } from 'node:net'
+import { setAbortiveClose } from './abortive-close.js'
 import { PieceBuffer } from './piece-buffer.js'
 
 /** Size above which an answer is streamed instead of buffered completely. */
 export const ANSWER_BUFFER_BYTES = 262_144
+/** Size up to which the operating system takes a complete answer at once, whatever the state of the connection. */
+const SINGLE_WRITE_BYTES = 16_384
 
 export interface AnswerOptions {
   readonly status: number
   readonly headers: readonly string[]
   /**
    * The answer has no stated length and ends when the connection closes. A truncated answer looks the same, so it is
-   * relayed without a length, too.
+   * relayed without a length, too. While it is relayed, the end of this process resets the caller's connection.
    */
   readonly isCloseDelimited: boolean
   readonly memory: AnswerMemory
@@ -32,6 +35,8 @@
   #countedBytes = 0
   #isComplete = false
   #isFlushScheduled = false
+  /** Closing the caller's connection resets it. */
+  #isAbortive = false
   #response: ServerResponse | undefined
 
   constructor (readonly options: AnswerOptions) {}
@@ -65,16 +70,15 @@
     this.#isComplete = true
     if (this.#response === undefined) return
     this.#flush()
-    this.#response.end()
+    this.#endResponse(this.#response)
   }
 
   /**
-   * Handles an answer that broke off: if it is being streamed, closes the caller's connection. One without a length is
-   * reset, since it looks complete at a regular end.
+   * Handles an answer that broke off: if it is being streamed, closes the caller's connection. That of an answer without a
+   * length is abortive by then, since it looks complete at a regular end.
    */
   fail (): void {
-    const socket = this.#response?.socket
-    if (this.options.isCloseDelimited && socket instanceof Socket) socket.resetAndDestroy()
+    // Not `resetAndDestroy`, which ends the connection regularly before it resets it.
     this.#response?.destroy()
     this.discard()
   }
@@ -90,7 +94,10 @@
     this.#response = response
     const headers = [...this.options.headers, ...extraHeaders]
     if (isCloseDelimited) {
-      response.useChunkedEncodingByDefault = false
+      const isTakenAtOnce = this.#isComplete && this.#pieces.bytes <= SINGLE_WRITE_BYTES
+      this.#isAbortive = !isTakenAtOnce && response.socket instanceof Socket && setAbortiveClose(response.socket, true)
+      // Without that option only the framing can show the end of this process.
+      response.useChunkedEncodingByDefault = !isTakenAtOnce && !this.#isAbortive
       if (!extraHeaders.includes('connection')) headers.push('connection', 'close')
     }
     response.once('close', () => {
@@ -103,11 +110,29 @@
     }
     const hasLength = headers.some((name, index) => index % 2 === 0 && name === 'content-length')
     if (!hasLength && !isCloseDelimited && status !== 204 && status !== 304) headers.push('content-length', String(this.#pieces.bytes))
-    const blocks = this.#pieces.take()
     response.writeHead(status, headers)
+    if (this.#isAbortive) {
+      this.#flush()
+      return this.#endResponse(response)
+    }
+    const blocks = this.#pieces.take()
     response.end(blocks.length === 1 ? blocks[0] : Buffer.concat(blocks))
   }
 
+  /** Ends the response; an abortive connection becomes a usual one once the operating system has taken the whole answer. */
+  #endResponse (response: ServerResponse): void {
+    if (!this.#isAbortive) {
+      response.end()
+      return
+    }
+    response.write('', error => {
+      const { socket } = response
+      if (error != null || !(socket instanceof Socket)) return
+      setAbortiveClose(socket, false)
+      response.end()
+    })
+  }
+
   /** Writes what was read to the caller, and pauses reading if the caller does not keep up. */
   #flush (): void {
     const response = this.#response
