Tell a reset that arrives with data from a regular end

Cause: libuv reports the end of a stream on the hang-up of a connection after a partial read, without reading the error, so a reset that arrives together with data looks like a regular end.

Change: at the end of a connection, the connector checks whether it has a remote address, which a reset connection has not; an answer without a length whose connection was reset counts as broken.

Conclusion: fixed as reproduced; that it is what the users saw is suspected.

--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -24,6 +24,8 @@
   readonly dialect: Dialect
   readonly answerMemory: AnswerMemory
   readonly emit: (event: SteeringEvent) => void
+  /** Whether the end of a connection that was reset is being handled right now. */
+  readonly isHandlingReset: () => boolean
   /** Called once. */
   readonly onEnd: (end: AttemptEnd, detail: string) => void
 }
@@ -113,6 +115,10 @@
   onResponseEnd (): void {
     const answer = this.#answer
     if (this.#ended || answer === undefined) return
+    if (answer.options.isCloseDelimited && this.options.isHandlingReset()) {
+      answer.fail()
+      return this.#emitBroken('reset', undefined, 'reset before the end of an answer without a length')
+    }
     answer.end()
     this.#end('finished', String(answer.status))
     this.#emitAnswered(answer)
--- a/packages/gateway/src/connector.ts
+++ b/packages/gateway/src/connector.ts
@@ -1,6 +1,7 @@
 /**
- * Opens connections for undici. It has its own connect timeout because undici's has a resolution of one second. It changes
- * the code of a reset, because undici treats one with the system's code as the end of an answer without a length.
+ * Opens connections for undici. It has its own connect timeout because undici's has a resolution of one second. It also
+ * tells a reset from the end of an answer without a length: undici treats an error with the system's code for a reset as
+ * that end, and libuv reports a reset that arrives together with data as a regular end.
  */
 import type { Socket } from 'node:net'
 import { connect } from 'node:net'
@@ -15,6 +16,8 @@
 
 export interface Connector {
   readonly open: (target: ConnectTarget, callback: ConnectCallback) => void
+  /** Whether the end of a connection that was reset is being handled right now. */
+  readonly isHandlingReset: () => boolean
 }
 
 /** Short because a handshake takes one round trip and a request that was not yet written can go to another upstream. */
@@ -32,7 +35,18 @@
 
 /** Creates a connector that calls `onConnected` with the duration of each handshake. */
 export function createConnector (onConnected: (durationMs: number) => void): Connector {
+  let isHandlingReset = false
+
+  /** Must run before undici's listener, which ends the answer in the same event. */
+  function detectReset (socket: Socket): void {
+    // A connection that was reset has no remote address any more; one that the other side has ended keeps it.
+    if (socket.remoteAddress !== undefined) return
+    isHandlingReset = true
+    queueMicrotask(() => { isHandlingReset = false })
+  }
+
   return {
+    isHandlingReset: () => isHandlingReset,
     open: ({ hostname, port }, callback) => {
       const connectStartedAt = performance.now()
       const socket = connect({ host: hostname, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS })
@@ -46,6 +60,7 @@
         clearTimeout(timer)
         socket.off('error', onError)
         socket.on('error', renameReset)
+        socket.once('end', () => detectReset(socket))
         onConnected(performance.now() - connectStartedAt)
         callback(null, socket)
       })
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -5,6 +5,7 @@
 import type { Cancel, Dispatch, Probe, SteeringEvent } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { Dispatcher } from 'undici'
+import type { Connector } from './connector.js'
 import type { Dialect } from './dialect.js'
 import type { HttpExchange } from './http-exchange.js'
 import { Pool, request } from 'undici'
@@ -34,6 +35,7 @@
 interface UpstreamPool {
   readonly address: string
   readonly pool: Pool
+  readonly connector: Connector
 }
 
 /** Idle timeout of a connection if the upstream does not state one. */
@@ -54,7 +56,7 @@
     const pool = new Pool(`http://${address}`, {
       connect: connector.open as never, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS
     })
-    const created = { address, pool }
+    const created = { address, pool, connector }
     pools.set(upstreamId, created)
     return created
   }
@@ -102,12 +104,13 @@
       const exchange = exchanges.get(command.requestId)
       const { attemptId } = command
       if (exchange === undefined) return emit({ type: 'attempt-refused', attemptId, cause: 'unsent' })
-      const { pool } = getOrCreatePool(command.upstreamId, command.address, command.zone)
+      const { pool, connector } = getOrCreatePool(command.upstreamId, command.address, command.zone)
       const attempt = new AttemptHandler({
         command,
         exchange,
         dialect,
         answerMemory,
+        isHandlingReset: connector.isHandlingReset,
         emit,
         onEnd: (end, detail) => {
           attempts.delete(attemptId)
