End a large answer only when it has been sent

Cause: when the caller port closes, or connections are short, Node closes idle connections, and counts one as idle from the call of `end` on, even if the answer waits for a slow caller.

Ruled out as a test: eight slow callers of 250,000 bytes across the closing of the port got whole answers before the change, since the system takes megabytes at once on loopback.

Conclusion: fixed by reading; that callers saw it is suspected.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -35,6 +35,8 @@
   #countedBytes = 0
   #isComplete = false
   #isFlushScheduled = false
+  /** The operating system may not take the answer at once. */
+  #isLarge = false
   /** Closing the caller's connection resets it. */
   #isAbortive = false
   #response: ServerResponse | undefined
@@ -92,12 +94,12 @@
   relay (response: ServerResponse, extraHeaders: readonly string[]): void {
     const { status, isCloseDelimited, onAbandoned } = this.options
     this.#response = response
+    this.#isLarge = !this.#isComplete || this.#pieces.bytes > SINGLE_WRITE_BYTES
     const headers = [...this.options.headers, ...extraHeaders]
     if (isCloseDelimited) {
-      const isTakenAtOnce = this.#isComplete && this.#pieces.bytes <= SINGLE_WRITE_BYTES
-      this.#isAbortive = !isTakenAtOnce && response.socket instanceof Socket && setAbortiveClose(response.socket, true)
+      this.#isAbortive = this.#isLarge && response.socket instanceof Socket && setAbortiveClose(response.socket, true)
       // Without that option only the framing can show the end of this process.
-      response.useChunkedEncodingByDefault = !isTakenAtOnce && !this.#isAbortive
+      response.useChunkedEncodingByDefault = this.#isLarge && !this.#isAbortive
       if (!extraHeaders.includes('connection')) headers.push('connection', 'close')
     }
     response.once('close', () => {
@@ -111,7 +113,7 @@
     const hasLength = headers.some((name, index) => index % 2 === 0 && name === 'content-length')
     if (!hasLength && !isCloseDelimited && status !== 204 && status !== 304) headers.push('content-length', String(this.#pieces.bytes))
     response.writeHead(status, headers)
-    if (this.#isAbortive) {
+    if (this.#isLarge) {
       this.#flush()
       return this.#endResponse(response)
     }
@@ -119,16 +121,14 @@
     response.end(blocks.length === 1 ? blocks[0] : Buffer.concat(blocks))
   }
 
-  /** Ends the response; an abortive connection becomes a usual one once the operating system has taken the whole answer. */
+  /**
+   * Ends the response of a large answer once the operating system has taken all of it. Node counts a connection as idle from
+   * the call of `end` on, so it could be closed with data unsent. An abortive connection becomes a usual one.
+   */
   #endResponse (response: ServerResponse): void {
-    if (!this.#isAbortive) {
-      response.end()
-      return
-    }
     response.write('', error => {
-      const { socket } = response
-      if (error != null || !(socket instanceof Socket)) return
-      setAbortiveClose(socket, false)
+      if (error != null) return
+      if (this.#isAbortive && response.socket instanceof Socket) setAbortiveClose(response.socket, false)
       response.end()
     })
   }
