--- a/packages/gateway/tests/real/reset-with-data.test.ts
+++ b/packages/gateway/tests/real/reset-with-data.test.ts
@@ -22,7 +22,10 @@
       const id = /x-id: (\S+)/.exec(chunk.toString())?.[1]
       if (id === undefined) return
       const part = `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\nconnection: close\r\n\r\npart`
-      if (end === 'regular') return socket.end(part)
+      if (end === 'regular') {
+        socket.end(part)
+        return
+      }
       setAbortiveClose(socket, true)
       socket.write(part)
       socket.destroy()
