Send an answer in chunks only to callers that know them

If koffi can't be loaded, a large answer without a length is sent in chunks. The switch was set whatever the caller's HTTP version was; now it is only ever switched off, as Node already does for HTTP/1.0.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -98,8 +98,8 @@
     const headers = [...this.options.headers, ...extraHeaders]
     if (isCloseDelimited) {
       this.#isAbortive = this.#isLarge && response.socket instanceof Socket && setAbortiveClose(response.socket, true)
-      // Without that option only the framing can show the end of this process.
-      response.useChunkedEncodingByDefault = this.#isLarge && !this.#isAbortive
+      // Without that option only chunks can show the end of this process.
+      if (!this.#isLarge || this.#isAbortive) response.useChunkedEncodingByDefault = false
       if (!extraHeaders.includes('connection')) headers.push('connection', 'close')
     }
     response.once('close', () => {
