Break off an answer after 16 interim ones

What callers saw: with upstreams that send interim answers (103) without an end, requests waited for their route's timeout, and the instance was busy with reading them: of 369 requests at 25 a second, 216 had no answer by their deadline.

Cause: interim answers were skipped without a limit.

Change: after 16 of them the attempt counts as garbled and its connection is closed.

Evidence: a test with interim answers without an end failed before (504 at the timeout) and passes; four interim answers before an answer are still skipped. Endless headers in fields of two bytes still leave 222 of 340 requests without an answer by their deadline, in a run in which the stand-ins share the machine; not traced.

--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -32,7 +32,10 @@
 
 /** Maximum size of the body of an answer that refuses a request; it is read and discarded to keep the connection reusable. */
 const MAX_DISCARDED_BYTES = 65_536
+const MIN_FINAL_STATUS = 200
 const MAX_SUCCESS_STATUS = 299
+/** Maximum number of interim answers (status 1xx) before the answer; they are not relayed. */
+const MAX_INTERIM_ANSWERS = 16
 /** Code of undici's error for a request that it can't write. */
 const INVALID_REQUEST_CODE = 'UND_ERR_INVALID_ARG'
 /** Statuses whose answers have no body. */
@@ -50,6 +53,7 @@
   /** The attempt was answered completely, refused, failed or cancelled. What remains of a refusal is read and discarded. */
   #ended = false
   #discardedBytes = 0
+  #interimAnswers = 0
 
   constructor (readonly options: AttemptHandlerOptions) {
     this.#expiresAt = performance.now() + options.command.timeoutMs
@@ -69,7 +73,8 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
-    if (status < 200 || this.#ended) return
+    if (this.#ended) return
+    if (status < MIN_FINAL_STATUS) return this.#countInterimAnswer(controller)
     const { dialect, exchange } = this.options
     const headerNames = dialect.headers
     const echoedRequestId = firstValue(headers[headerNames.requestId])
@@ -132,6 +137,11 @@
     this.#emitBroken(typeof code === 'string' && code.startsWith('HPE_') ? 'garbled' : 'reset', undefined, error.message)
   }
 
+  #countInterimAnswer (controller: Dispatcher.DispatchController): void {
+    this.#interimAnswers += 1
+    if (this.#interimAnswers > MAX_INTERIM_ANSWERS) this.#emitBroken('garbled', controller, 'too many interim answers')
+  }
+
   /** Why the attempt ended before its first byte was written. */
   #unsentCause (code: unknown): AttemptRefused['cause'] {
     if (this.#isExpired) return 'unsent'
--- a/packages/gateway/tests/real/answer-memory.test.ts
+++ b/packages/gateway/tests/real/answer-memory.test.ts
@@ -111,3 +111,27 @@
   const origin = await start((socket, id) => { socket.write(`HTTP/1.1 500 X\r\nx-id: ${id}\r\nx-signature: s\r\ncontent-length: ${bytes}\r\n\r\n${'?'.repeat(bytes)}`) })
   expect(await call(origin, 'r-1')).toEqual({ status: 500, bytes })
 })
+
+it('breaks off interim answers without an end at once, guarding against a process that only reads them until the request\'s time', async () => {
+  const interim = Buffer.from('HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'.repeat(1_000))
+  const durations: Array<Promise<number>> = []
+  const origin = await start(socket => {
+    const startedAt = performance.now()
+    durations.push(closed(socket).then(() => performance.now() - startedAt))
+    const send = (): void => {
+      let mayWriteMore = true
+      while (mayWriteMore && socket.writable) mayWriteMore = socket.write(interim)
+      socket.once('drain', send)
+    }
+    send()
+  })
+  expect(await call(origin, 'r-1')).toEqual({ status: 502, bytes: 0 })
+  expect((await Promise.all(durations)).filter(ms => ms > 500)).toEqual([])
+})
+
+it('relays an answer after a few interim ones', async () => {
+  const origin = await start((socket, id) => {
+    socket.write(`${'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n'.repeat(4)}HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok`)
+  })
+  expect(await call(origin, 'r-1')).toEqual({ status: 200, bytes: 2 })
+})
