--- a/packages/gateway/tests/support.ts
+++ b/packages/gateway/tests/support.ts
@@ -31,11 +31,12 @@
 export const DEPLOYMENT: Deployment = {
   version: 1,
   routes: [
-    { name: 'read', host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeoutMs: 2_000, objectiveMs: 500, attempts: 2, priority: 1, parts: [{ service: 'shop', weight: 1 }], homeRegions: [] },
-    { name: 'buy', host: 'shop.example', prefix: '/buy/', kind: 'non-idempotent', timeoutMs: 2_000, objectiveMs: 500, attempts: 2, priority: 0, parts: [{ service: 'shop', weight: 1 }], homeRegions: [] }
+    { name: 'read', host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeoutMs: 2_000, objectiveMs: 500, attempts: 2, priority: 1, parts: [{ service: 'shop', weight: 1 }], homeRegions: [], allowsAnonymous: false, hasAffinity: true },
+    { name: 'buy', host: 'shop.example', prefix: '/buy/', kind: 'non-idempotent', timeoutMs: 2_000, objectiveMs: 500, attempts: 2, priority: 0, parts: [{ service: 'shop', weight: 1 }], homeRegions: [], allowsAnonymous: false, hasAffinity: true }
   ],
   services: [{ name: 'shop', healthPath: '/health', connectionLimit: 100, coldMs: 0, coldRate: 100 }],
-  limits: { headerBytes: 8_192, bodyBytes: 1_000_000, headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 }
+  limits: { headerBytes: 8_192, bodyBytes: 1_000_000, headerTimeoutMs: 2_000, idleTimeoutMs: 5_000 },
+  teams: undefined
 }
 
 /** Opens an HTTP server on a free port. */
--- a/packages/steering/src/command.ts
+++ b/packages/steering/src/command.ts
@@ -26,6 +26,8 @@
   readonly upstreamId: string
   readonly zone: string
   readonly address: string
+  /** Name of the team that sent the request, in a deployment with teams. */
+  readonly team?: string
   /** Time in which the upstream must answer, in milliseconds. */
   readonly timeoutMs: number
   /** Close the connection after the answer. */
--- a/packages/steering/src/deployment.ts
+++ b/packages/steering/src/deployment.ts
@@ -33,6 +33,30 @@
   readonly parts: readonly RoutePart[]
   /** Regions that may serve the route; empty for all. */
   readonly homeRegions: readonly string[]
+  /** Requests without an API key are allowed, in a deployment with teams. */
+  readonly allowsAnonymous: boolean
+  /** An upstream that recently handled an object needs less work for it. */
+  readonly hasAffinity: boolean
+}
+
+/** Limit on the requests of a team over all instances: a token bucket. */
+export interface Quota {
+  /** Sustained rate, in requests per second. */
+  readonly ratePerSecond: number
+  /** Requests in addition to the sustained rate. */
+  readonly burst: number
+}
+
+/** A team whose requests are identified by API keys. */
+export interface Team {
+  readonly name: string
+  readonly apiKeys: readonly string[]
+  /** Compared before the priority of the route; 0 is the highest. */
+  readonly priority: number
+  /** `undefined` without a limit. */
+  readonly quota: Quota | undefined
+  /** Regions that may serve the team's requests; empty for all. If the route has home regions too, both apply. */
+  readonly homeRegions: readonly string[]
 }
 
 export interface Service {
@@ -60,6 +84,8 @@
   readonly routes: readonly Route[]
   readonly services: readonly Service[]
   readonly limits: CallerLimits
+  /** `undefined` if requests are not identified; API keys are then ordinary headers. */
+  readonly teams: readonly Team[] | undefined
 }
 
 /** Whether a request of the kind may run more than once. */
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -20,6 +20,10 @@
   readonly path: string
   /** Key of the object that the request names, if any. */
   readonly objectKey: string | undefined
+  /** API key that the request carries; empty if its credentials are malformed, and `undefined` without any. */
+  readonly apiKey?: string | undefined
+  /** Size of the body, in bytes. */
+  readonly bodyBytes?: number
   /** Remaining time that the caller stated, in milliseconds, counted from `receivedAt`. */
   readonly deadlineMs: number | undefined
   /** Time at which the header was read, on the monotonic clock. */
--- a/packages/steering/tests/fixtures.ts
+++ b/packages/steering/tests/fixtures.ts
@@ -5,7 +5,7 @@
 import { createSteering } from '../src/index.js'
 
 export const READ: Route = {
-  name: 'read', host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeoutMs: 3_000, objectiveMs: 500, attempts: 2, priority: 2, parts: [{ service: 'shop', weight: 1 }], homeRegions: []
+  name: 'read', host: 'shop.example', prefix: '/read/', kind: 'idempotent', timeoutMs: 3_000, objectiveMs: 500, attempts: 2, priority: 2, parts: [{ service: 'shop', weight: 1 }], homeRegions: [], allowsAnonymous: false, hasAffinity: true
 }
 export const BUY: Route = { ...READ, name: 'buy', prefix: '/buy/', kind: 'non-idempotent', timeoutMs: 1_200, priority: 1 }
 
@@ -13,7 +13,8 @@
   version: 1,
   routes: [READ, BUY],
   services: [{ name: 'shop', healthPath: '/health', connectionLimit: 300, coldMs: 3_000, coldRate: 10 }],
-  limits: { headerBytes: 8_192, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+  limits: { headerBytes: 8_192, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  teams: undefined
 }
 
 export const REGIONS = { a1: 'a', a2: 'a', b1: 'b', b2: 'b' } as const
