Identify teams by their API keys

A deployment with teams names the sender of each request by a key, which the instance did not read: the key went to upstreams like any other header, and quotas and home regions of teams had no effect.

An unknown key or malformed header is refused with 401 `unknown-key`, a missing key with 401 `no-key` unless the route allows anonymous requests. Credentials and a team that the caller stated are removed when headers are read and, if the first version with teams arrives later, before the next attempt. The engine names the team on each attempt and refusal, takes a token of its quota before placement, and gives it back if the request ends without having run. The quota itself is a placeholder without a limit.

Home regions of route and team are intersected once for each request. A team's priority is compared before the route's.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -11,7 +11,8 @@
 import { backlogFor, DEFAULT_RETRY_AFTER_MS, POSSIBLY_RUN, REFUSAL_STATUS, STOPPING_RETRY_AFTER_MS } from '@arbutustray/steering'
 import { createHttpListener } from './http-listener.js'
 import { createIntakeQueue } from './intake-queue.js'
-import { filterRequestHeaders, parseWholeNumber } from './message-headers.js'
+import { createTeamCounter, teamOutcome } from './team-counter.js'
+import { filterRequestHeaders, parseApiKey, parseWholeNumber, removeTeamHeaders } from './message-headers.js'
 
 export interface CallerServerOptions {
   readonly dialect: Dialect
@@ -22,6 +23,8 @@
   readonly cores: number
   /** Limits of the current deployment; `undefined` before the first one. */
   readonly limits: () => CallerLimits | undefined
+  /** Whether the current deployment has teams. */
+  readonly hasTeams: () => boolean
   /** Version of the current deployment, for the log. */
   readonly version: () => number
   /** Whether answers ask callers to close their connections (`connection: close`): from the phase `leaving` on. */
@@ -60,6 +63,10 @@
 /** Interval at which Node checks connections for an exceeded header timeout. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000
 const MS_PER_SECOND = 1_000
+/** Status that must name an authentication scheme (RFC 9110, section 15.5.2). */
+const UNAUTHORIZED = 401
+/** Value of the log field `team` for anonymous requests and in a deployment without teams. */
+const NO_TEAM = ''
 /** Metrics label of requests that match no route. */
 const UNKNOWN_ROUTE_LABEL = 'unknown'
 
@@ -75,6 +82,7 @@
 
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   const { dialect, exchanges, emit, telemetry } = options
+  const countTeamRequest = createTeamCounter(telemetry.metrics)
   let lastId = 0
   let bufferedBodyBytes = 0
 
@@ -93,16 +101,20 @@
     const { headers } = request
     const headerNames = dialect.headers
     const deadlineMs = parseWholeNumber(firstValue(headers[headerNames.deadline]))
+    const hasTeams = options.hasTeams()
+    const forwarded = filterRequestHeaders(request.rawHeaders, headers.connection, headerNames)
     const exchange: HttpExchange = {
       id,
       callerRequestId: firstValue(headers[headerNames.requestId]) ?? '',
       request,
       response,
-      headers: filterRequestHeaders(request.rawHeaders, headers.connection, headerNames),
+      headers: hasTeams ? removeTeamHeaders(forwarded, headerNames) : forwarded,
+      hasTeamHeaders: !hasTeams,
       body,
       receivedAt,
       answers: new Map(),
       decisionLog: [],
+      team: undefined,
       isSettled: false
     }
     exchanges.set(id, exchange)
@@ -113,6 +125,7 @@
       host: hostOf(headers.host),
       path: pathOf(request.url ?? '/'),
       objectKey: firstValue(headers[headerNames.objectKey]),
+      apiKey: parseApiKey(request.rawHeaders),
       deadlineMs,
       receivedAt
     })
@@ -125,8 +138,9 @@
     if (exchange.body !== undefined) bufferedBodyBytes -= exchange.body.length
     if (exchange.isSettled) return
     exchange.isSettled = true
+    countTeamRequest(exchange.team, 'admitted')
     telemetry.log('request-abandoned', {
-      requestId: exchange.callerRequestId, durationMs: Math.round(performance.now() - exchange.receivedAt), decisions: exchange.decisionLog.join('; ')
+      requestId: exchange.callerRequestId, team: exchange.team ?? NO_TEAM, durationMs: Math.round(performance.now() - exchange.receivedAt), decisions: exchange.decisionLog.join('; ')
     })
     emit({ type: 'request-cancelled', requestId: exchange.id })
   }
@@ -200,7 +214,7 @@
     const durationMs = Math.round(performance.now() - receivedAt)
     telemetry.metrics.increment('arbutustray_answers_total', { route: UNKNOWN_ROUTE_LABEL, status: String(status), source: reason })
     telemetry.log('request-refused', {
-      requestId, route: UNKNOWN_ROUTE_LABEL, status, reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS, durationMs, version: options.version(), decisions: `${intakeQueue.size()} more in the intake queue`
+      requestId, route: UNKNOWN_ROUTE_LABEL, team: NO_TEAM, status, reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS, durationMs, version: options.version(), decisions: `${intakeQueue.size()} more in the intake queue`
     })
     response.writeHead(status, [
       'content-length', '0', dialect.headers.requestId, requestId, 'retry-after', (DEFAULT_RETRY_AFTER_MS / MS_PER_SECOND).toFixed(2), 'connection', 'close'
@@ -209,11 +223,12 @@
   }
 
   /** Counts an answer in the metrics and returns the fields of its log event. */
-  function recordAnswer (exchange: HttpExchange, route: string, status: number, source: 'upstream' | Refusal): { route: string, durationMs: number, version: number, decisions: string } {
+  function recordAnswer (exchange: HttpExchange, route: string, status: number, source: 'upstream' | Refusal): { route: string, team: string, durationMs: number, version: number, decisions: string } {
     const durationMs = performance.now() - exchange.receivedAt
     telemetry.metrics.increment('arbutustray_answers_total', { route, status: String(status), source })
     telemetry.metrics.observe('arbutustray_answer_duration_seconds', { route }, durationMs / MS_PER_SECOND)
-    return { route, durationMs: Math.round(durationMs), version: options.version(), decisions: exchange.decisionLog.join('; ') }
+    countTeamRequest(exchange.team, teamOutcome(source))
+    return { route, team: exchange.team ?? NO_TEAM, durationMs: Math.round(durationMs), version: options.version(), decisions: exchange.decisionLog.join('; ') }
   }
 
   function connectionHeaders (): readonly string[] {
@@ -238,16 +253,18 @@
       telemetry.log('request-served', { requestId: exchange.callerRequestId, status: answer.status, ...recordAnswer(exchange, route, answer.status, 'upstream') })
       answer.relay(exchange.response, connectionHeaders())
     },
-    respond: ({ requestId, route, status, reason, retryAfterMs }) => {
+    respond: ({ requestId, route, team, status, reason, retryAfterMs }) => {
       const exchange = exchanges.get(requestId)
       if (exchange === undefined || exchange.isSettled) return
       exchange.isSettled = true
+      exchange.team = team
       const fields = { requestId: exchange.callerRequestId, status, reason, ...recordAnswer(exchange, route ?? UNKNOWN_ROUTE_LABEL, status, reason) }
       if (retryAfterMs !== undefined) telemetry.log('request-refused', { ...fields, retryAfterMs: Math.round(retryAfterMs) })
       else telemetry.log(POSSIBLY_RUN.has(reason) ? 'request-unanswered' : 'request-not-sent', fields)
       const retry = retryAfterMs === undefined ? [] : ['retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(2)]
+      const challenge = status === UNAUTHORIZED ? ['www-authenticate', 'Bearer'] : []
       exchange.response.writeHead(status, [
-        'content-length', '0', dialect.headers.requestId, exchange.callerRequestId, ...retry, ...connectionHeaders()
+        'content-length', '0', dialect.headers.requestId, exchange.callerRequestId, ...challenge, ...retry, ...connectionHeaders()
       ])
       exchange.response.end()
     },
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -12,6 +12,8 @@
   readonly deadline: string
   /** Key of the object that the request concerns. */
   readonly objectKey: string
+  /** Name of the team that sent the request; set by the gateway in a deployment with teams. */
+  readonly team: string
   /** Id of the upstream that the request is meant for. */
   readonly expectedUpstream: string
   /** Id of the upstream that answered a health probe. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,6 +69,7 @@
   'upstream-leaving': logUpstreamChange,
   'upstream-paused': logUpstreamChange,
   deployment: (log, { id, detail }) => log('deployment-in-force', { version: id, detail }),
+  'team-key-conflict': (log, { id, detail }) => log('team-key-conflict', { team: id, detail }),
   evacuation: (log, { id, detail }) => log('zone-evacuation', { zone: id, detail })
 }
 
@@ -145,7 +146,8 @@
       emit({ type: 'instances-counted', ids: directory.ids() })
     }
   })
-  const upstreamClient = createUpstreamClient({ dialect, exchanges, emit, telemetry })
+  const hasTeams = (): boolean => steering.deployment()?.teams !== undefined
+  const upstreamClient = createUpstreamClient({ dialect, exchanges, emit, telemetry, hasTeams })
   const callerServer = createCallerServer({
     dialect,
     exchanges,
@@ -153,6 +155,7 @@
     telemetry,
     cores: settings.cores,
     limits: () => steering.deployment()?.limits,
+    hasTeams,
     version: () => steering.deployment()?.version ?? 0,
     shouldCloseConnections: () => connectionBudget.isShort() || (isStopping && phase() !== 'serving'),
     isClosing: () => isStopping && (phase() === 'closing' || phase() === 'ended')
@@ -176,7 +179,9 @@
 
   const executors: { readonly [T in SteeringCommand['type']]: (command: Extract<SteeringCommand, { type: T }>) => void } = {
     dispatch: command => {
-      exchanges.get(command.requestId)?.decisionLog.push(`to ${formatBasis(command.basis)}`)
+      const exchange = exchanges.get(command.requestId)
+      exchange?.decisionLog.push(`to ${formatBasis(command.basis)}`)
+      if (exchange !== undefined) exchange.team = command.team
       upstreamClient.dispatch(command)
     },
     cancel: upstreamClient.cancel,
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -14,12 +14,16 @@
   readonly response: ServerResponse
   /** Headers to forward to the upstream: alternating names and values. */
   readonly headers: readonly string[]
+  /** `headers` may hold an API key or a team that the caller stated: the deployment had no teams when they were read. */
+  readonly hasTeamHeaders: boolean
   readonly body: Buffer | undefined
   readonly receivedAt: number
   /** Answers of upstreams by attempt id. */
   readonly answers: Map<string, Answer>
   /** Routing decisions and results of attempts, for the `decisions` field of the log. */
   readonly decisionLog: string[]
+  /** Name of the team that sent the request; `undefined` until the engine names it, and for anonymous requests. */
+  team: string | undefined
   /** An answer was chosen, though it may still be being sent, or the caller closed its connection. */
   isSettled: boolean
 }
--- a/packages/gateway/src/message-headers.ts
+++ b/packages/gateway/src/message-headers.ts
@@ -1,10 +1,14 @@
 /**
  * Selects the headers to forward, as flat arrays of alternating names and values, which Node and undici accept. Also parses
- * numbers in header values.
+ * credentials and numbers in header values.
  */
 import type { HeaderNames } from './dialect.js'
 import { isHopByHop, parseConnectionOptions, firstValue } from '@arbutustray/http'
 
+const AUTHORIZATION = 'authorization'
+/** Credentials with an API key of visible ASCII characters. The name of the scheme is not case-sensitive. */
+const BEARER = /^bearer +([\x21-\x7e]+)$/i
+
 type Headers = Readonly<Record<string, string | string[] | undefined>>
 
 /** Request headers to forward to the upstream, without the length and the headers that are set for each attempt. */
@@ -20,6 +24,31 @@
   return kept
 }
 
+/** Removes the headers that identify the sender: the credentials and a team that the caller stated. */
+export function removeTeamHeaders (headers: readonly string[], names: HeaderNames): string[] {
+  const kept: string[] = []
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const lower = headers[index].toLowerCase()
+    if (lower !== AUTHORIZATION && lower !== names.team) kept.push(headers[index], headers[index + 1])
+  }
+  return kept
+}
+
+/**
+ * API key in the `Authorization` header of a request: empty if the header is malformed or occurs more than once, and
+ * `undefined` if there is none.
+ */
+export function parseApiKey (raw: readonly string[]): string | undefined {
+  let found: string | undefined
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    // The length is compared first because it excludes nearly all other headers.
+    if (raw[index].length !== AUTHORIZATION.length || raw[index].toLowerCase() !== AUTHORIZATION) continue
+    if (found !== undefined) return ''
+    found = BEARER.exec(raw[index + 1])?.[1] ?? ''
+  }
+  return found
+}
+
 /** Headers of an upstream's answer to forward to the caller. */
 export function filterAnswerHeaders (headers: Headers): string[] {
   const connectionOptions = parseConnectionOptions(firstValue(headers.connection))
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -13,7 +13,7 @@
 import { createAnswerMemory } from './answer-memory.js'
 import { AttemptHandler } from './attempt-handler.js'
 import { createConnector } from './connector.js'
-import { parseWholeNumber } from './message-headers.js'
+import { parseWholeNumber, removeTeamHeaders } from './message-headers.js'
 import { parseStatements } from './parse-statements.js'
 
 export interface UpstreamClientOptions {
@@ -21,6 +21,8 @@
   readonly exchanges: ReadonlyMap<string, HttpExchange>
   readonly emit: (event: SteeringEvent) => void
   readonly telemetry: Pick<Telemetry, 'metrics'>
+  /** Whether the current deployment has teams. */
+  readonly hasTeams: () => boolean
 }
 
 export interface UpstreamClient {
@@ -62,12 +64,15 @@
   }
 
   function requestOptions (command: Dispatch, exchange: HttpExchange): Dispatcher.DispatchOptions {
+    // The first deployment with teams may have arrived after the request.
+    const headers = exchange.hasTeamHeaders && options.hasTeams() ? removeTeamHeaders(exchange.headers, dialect.headers) : exchange.headers
     return {
       path: exchange.request.url ?? '/',
       method: exchange.request.method as Dispatcher.HttpMethod,
-      headers: exchange.headers.concat(
+      headers: headers.concat(
         dialect.headers.deadline, String(Math.max(1, Math.floor(command.timeoutMs))),
-        dialect.headers.expectedUpstream, command.upstreamId
+        dialect.headers.expectedUpstream, command.upstreamId,
+        ...(command.team === undefined ? [] : [dialect.headers.team, command.team])
       ),
       body: exchange.body ?? null,
       reset: command.singleUse
--- a/packages/gateway/tests/support.ts
+++ b/packages/gateway/tests/support.ts
@@ -11,6 +11,7 @@
     requestId: 'x-id',
     deadline: 'x-deadline',
     objectKey: 'x-object',
+    team: 'x-team',
     expectedUpstream: 'x-expected',
     answeringUpstream: 'x-upstream',
     coldTime: 'x-cold',
--- a/packages/steering/src/command.ts
+++ b/packages/steering/src/command.ts
@@ -55,6 +55,8 @@
   readonly reason: Refusal
   /** Name of the request's route; `undefined` if none matches. */
   readonly route: string | undefined
+  /** Name of the team that sent the request, if it is known. */
+  readonly team?: string
   /** Time after which the caller should retry, in milliseconds. Only with a status that promises that nothing ran. */
   readonly retryAfterMs?: number
   /** The chosen upstream, if admission refused the request. */
@@ -72,7 +74,7 @@
 /** Reports a change of the engine's state, for the log and the metrics. */
 export interface Note {
   readonly type: 'note'
-  readonly subject: 'upstream-suspect' | 'upstream-restored' | 'upstream-removed' | 'upstream-missing' | 'upstream-added' | 'upstream-draining' | 'upstream-limited' | 'upstream-leaving' | 'upstream-paused' | 'deployment' | 'evacuation'
+  readonly subject: 'upstream-suspect' | 'upstream-restored' | 'upstream-removed' | 'upstream-missing' | 'upstream-added' | 'upstream-draining' | 'upstream-limited' | 'upstream-leaving' | 'upstream-paused' | 'deployment' | 'team-key-conflict' | 'evacuation'
   readonly id: string
   readonly detail: string
 }
--- a/packages/steering/src/pending-request.ts
+++ b/packages/steering/src/pending-request.ts
@@ -1,7 +1,7 @@
 /**
  * Records of the requests that have no final answer yet and of their attempts. Times are on the monotonic clock.
  */
-import type { Route } from './deployment.js'
+import type { Route, Team } from './deployment.js'
 
 /** One dispatch of a request to an upstream. */
 export interface Attempt {
@@ -17,6 +17,10 @@
 export interface PendingRequest {
   readonly id: string
   readonly route: Route
+  /** `undefined` for an anonymous request and in a deployment without teams. */
+  readonly team: Team | undefined
+  /** Regions that may serve the request, by its route and its team; empty for all. */
+  readonly homeRegions: readonly string[]
   readonly service: string
   readonly objectKey: string | undefined
   readonly receivedAt: number
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -7,7 +7,7 @@
  */
 import type { ColdRateLimit } from './cold-rate-limit.js'
 import type { PlacementBasis, Respond, SteeringCommand } from './command.js'
-import type { Route } from './deployment.js'
+import type { Route, Team } from './deployment.js'
 import type { AttemptAnswered, AttemptBroken, AttemptRefused, RequestArrived } from './event.js'
 import type { StopLimits } from './stop-schedule.js'
 import type { OutlierDetection } from './outlier-detection.js'
@@ -16,6 +16,8 @@
 import type { Attempt, PendingRequest } from './pending-request.js'
 import type { RequestLimit } from './request-limit.js'
 import type { RetryBudget } from './retry-budget.js'
+import type { Identity } from './team-index.js'
+import type { TeamQuota } from './team-quota.js'
 import type { Upstream } from './upstream.js'
 import type { StatementRecorder } from './upstream-statements.js'
 import type { UpstreamTable } from './upstream-table.js'
@@ -24,7 +26,8 @@
 import { IS_IDEMPOTENT } from './deployment.js'
 import { createExpectedDuration } from './expected-duration.js'
 import { recordMeasuredSlowdown } from './load-estimate.js'
-import { REFUSAL_STATUS } from './refusal.js'
+import { POSSIBLY_RUN, REFUSAL_STATUS } from './refusal.js'
+import { homeRegionsOf } from './team-index.js'
 import { createTrafficSplit } from './traffic-split.js'
 import { createUsualDeadline } from './usual-deadline.js'
 
@@ -53,8 +56,11 @@
   readonly retryBudget: RetryBudget
   readonly roundTrips: ZoneRoundTrips
   readonly findRoute: (host: string, path: string) => Route | undefined
-  /** Whether no other route to the same services has a higher priority. */
-  readonly hasTopPriority: (route: Route) => boolean
+  /** Identifies the team of a request by its API key. */
+  readonly identify: (apiKey: string | undefined, route: Route) => Identity
+  readonly teamQuota: TeamQuota
+  /** Whether no other team, and no other route to the same services, has a higher priority. */
+  readonly hasTopPriority: (route: Route, team: Team | undefined) => boolean
 }
 
 /** Limit on the attempts of one request, including refused ones. */
@@ -87,7 +93,7 @@
 }
 
 export function createRequestLifecycle (dependencies: RequestLifecycleDependencies): RequestLifecycle {
-  const { upstreams, outlierDetection, placement, coldRateLimit, requestLimit, statements, retryBudget, roundTrips } = dependencies
+  const { upstreams, outlierDetection, placement, coldRateLimit, requestLimit, statements, retryBudget, roundTrips, teamQuota } = dependencies
   const requests = new Map<string, PendingRequest>()
   /** Non-idempotent requests whose callers have left, with open attempts. */
   const abandoned = new Set<PendingRequest>()
@@ -98,8 +104,16 @@
   let lastAttemptNumber = 0
   let stopLimits: StopLimits | undefined
 
-  function createRefusal (requestId: string, route: Route | undefined, reason: Refusal, retryAfterMs?: number): Respond {
-    return { type: 'respond', requestId, route: route?.name, status: REFUSAL_STATUS[reason], reason, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
+  function createRefusal (requestId: string, route: Route | undefined, reason: Refusal, retryAfterMs?: number, team?: Team): Respond {
+    return {
+      type: 'respond',
+      requestId,
+      route: route?.name,
+      status: REFUSAL_STATUS[reason],
+      reason,
+      ...(team === undefined ? {} : { team: team.name }),
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs })
+    }
   }
 
   /** Removes an attempt from the tables and returns it; `undefined` if it has already ended. */
@@ -125,11 +139,12 @@
   }
 
   /** Relays the error answer of an upstream if there is one, else refuses the request for the given reason. */
-  function finishWithFailure (request: PendingRequest, reason: Refusal, retryAfterMs?: number): readonly SteeringCommand[] {
+  function finishWithFailure (request: PendingRequest, reason: Refusal, now: number, retryAfterMs?: number): readonly SteeringCommand[] {
     if (request.errorAttemptId !== undefined) {
       return finish(request, { type: 'relay', requestId: request.id, attemptId: request.errorAttemptId, route: request.route.name })
     }
-    return finish(request, createRefusal(request.id, request.route, reason, retryAfterMs))
+    if (request.team !== undefined && !POSSIBLY_RUN.has(reason)) teamQuota.giveBack(request.team, now)
+    return finish(request, createRefusal(request.id, request.route, reason, retryAfterMs, request.team))
   }
 
   /** Starts an attempt at the chosen upstream. */
@@ -153,6 +168,7 @@
       upstreamId: upstream.id,
       zone: upstream.entry.zone,
       address: upstream.entry.address,
+      ...(request.team === undefined ? {} : { team: request.team.name }),
       timeoutMs: request.expiresAt - now,
       singleUse: now < upstream.noConnectionReuseUntil && !IS_IDEMPOTENT[request.route.kind],
       basis: basisOf(choice)
@@ -160,8 +176,8 @@
   }
 
   function chooseUpstream (request: PendingRequest, now: number): Candidate | undefined {
-    const { service, objectKey, route, tried } = request
-    return placement.choose({ service, objectKey, homeRegions: route.homeRegions, tried, expectedWorkMs: expectedDuration.estimateMs(route) }, now)
+    const { service, objectKey, homeRegions, route, tried } = request
+    return placement.choose({ service, objectKey, homeRegions, tried, expectedWorkMs: expectedDuration.estimateMs(route) }, now)
   }
 
   /** Time until the first upstream of a service takes requests again, if some asked for a pause. */
@@ -177,10 +193,10 @@
     const retryAfterMs = request.possibleRuns === 0 ? retryAfterMsFor(request.service, now) : undefined
     const remainingMs = request.expiresAt - now
     if (request.dispatches >= MAX_DISPATCHES || request.possibleRuns >= request.route.attempts || remainingMs < MIN_ATTEMPT_MS) {
-      return finishWithFailure(request, reason, retryAfterMs)
+      return finishWithFailure(request, reason, now, retryAfterMs)
     }
     const choice = chooseUpstream(request, now)
-    if (choice === undefined || !retryBudget.tryAcquire(request.service, now)) return finishWithFailure(request, reason, retryAfterMs)
+    if (choice === undefined || !retryBudget.tryAcquire(request.service, now)) return finishWithFailure(request, reason, now, retryAfterMs)
     return [dispatch(request, choice, now)]
   }
 
@@ -188,7 +204,7 @@
   function handleFailedAttempt (request: PendingRequest, reason: Refusal, now: number): readonly SteeringCommand[] {
     request.possibleRuns += 1
     if (request.attempts.size > 0) return []
-    if (!IS_IDEMPOTENT[request.route.kind]) return finishWithFailure(request, reason)
+    if (!IS_IDEMPOTENT[request.route.kind]) return finishWithFailure(request, reason, now)
     return retryOrFail(request, reason, now)
   }
 
@@ -202,11 +218,13 @@
     return [{ type: 'cancel', attemptId }, ...commands]
   }
 
-  function createRequest (event: RequestArrived, route: Route): PendingRequest {
+  function createRequest (event: RequestArrived, route: Route, team: Team | undefined, homeRegions: readonly string[]): PendingRequest {
     const timeoutMs = Math.min(route.timeoutMs, (event.deadlineMs ?? Infinity) - ANSWER_RESERVE_MS)
     return {
       id: event.requestId,
       route,
+      team,
+      homeRegions,
       service: trafficSplit.choose(route, event.objectKey),
       objectKey: event.objectKey,
       receivedAt: event.receivedAt,
@@ -237,21 +255,32 @@
       if (!hasDeployment) return [createRefusal(event.requestId, undefined, 'no-deployment', DEFAULT_RETRY_AFTER_MS)]
       const route = dependencies.findRoute(event.host, event.path)
       if (route === undefined) return [createRefusal(event.requestId, undefined, 'no-route')]
-      const request = createRequest(event, route)
+      const { team, refusal } = dependencies.identify(event.apiKey, route)
+      if (refusal !== undefined) return [createRefusal(event.requestId, route, refusal)]
+      const quota = team === undefined ? undefined : teamQuota.tryAcquire(team, now)
+      if (quota?.admitted === false) return [createRefusal(event.requestId, route, 'over-quota', quota.retryAfterMs, team)]
+      const refuse = (reason: Refusal, retryAfterMs: number): Respond => {
+        if (team !== undefined) teamQuota.giveBack(team, now)
+        return createRefusal(event.requestId, route, reason, retryAfterMs, team)
+      }
+      const homeRegions = homeRegionsOf(route, team)
+      // Only a new deployment can change this, so the caller is asked to wait for the longest time.
+      if (homeRegions === undefined) return [refuse('no-upstream', MAX_RETRY_AFTER_MS)]
+      const request = createRequest(event, route, team, homeRegions)
       retryBudget.recordRequest(request.service, now)
       const choice = chooseUpstream(request, now)
-      if (choice === undefined) return [createRefusal(event.requestId, route, 'no-upstream', retryAfterMsFor(request.service, now))]
+      if (choice === undefined) return [refuse('no-upstream', retryAfterMsFor(request.service, now))]
       if (stopLimits !== undefined && !canEndBeforeStop(stopLimits, { expectedAt: now + choice.expectedMs, expiresAt: request.expiresAt }, now)) {
-        return [createRefusal(event.requestId, route, 'stopping', STOPPING_RETRY_AFTER_MS)]
+        return [refuse('stopping', STOPPING_RETRY_AFTER_MS)]
       }
       const { admitted, retryAfterMs } = admit({
         expectedMs: choice.expectedMs,
         remainingMs: request.expiresAt - now,
         objectiveMs: route.objectiveMs,
-        hasTopPriority: dependencies.hasTopPriority(route),
+        hasTopPriority: dependencies.hasTopPriority(route, team),
         isLikelyCallerRetry: usualDeadline.recordAndCompare(route.name, event.deadlineMs)
       })
-      if (!admitted) return [{ ...createRefusal(event.requestId, route, 'overload', retryAfterMs), basis: basisOf(choice) }]
+      if (!admitted) return [{ ...refuse('overload', retryAfterMs), basis: basisOf(choice) }]
       requests.set(request.id, request)
       return [dispatch(request, choice, now)]
     },
@@ -271,7 +300,7 @@
       }
       if (request === undefined || request.attempts.size > 0) return commands
       const reason = request.possibleRuns > 0 ? 'outcome-unknown' : REFUSAL_AFTER[event.cause]
-      return [...commands, ...(event.cause === 'unsendable' ? finishWithFailure(request, reason) : retryOrFail(request, reason, now))]
+      return [...commands, ...(event.cause === 'unsendable' ? finishWithFailure(request, reason, now) : retryOrFail(request, reason, now))]
     },
     onAttemptAnswered: (event, now) => {
       const ended = endAttempt(event.attemptId)
@@ -324,7 +353,7 @@
         commands.push(...cancelAttempts(request))
       }
       for (const request of requests.values()) {
-        if (now >= request.expiresAt) commands.push(...finishWithFailure(request, 'timeout'))
+        if (now >= request.expiresAt) commands.push(...finishWithFailure(request, 'timeout', now))
         else {
           const command = hedge(request, now)
           if (command !== undefined) commands.push(command)
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -9,11 +9,13 @@
  * Service and the retry budget.
  */
 import type { SteeringCommand } from './command.js'
-import type { Deployment, Route } from './deployment.js'
+import type { Deployment, Route, Team } from './deployment.js'
 import type { SteeringEvent } from './event.js'
 import type { UpstreamLimits } from './placement.js'
 import type { RetryBudgetBound } from './retry-budget.js'
 import type { RouteIndex } from './route-index.js'
+import type { TeamIndex } from './team-index.js'
+import type { TeamQuota } from './team-quota.js'
 import type { Upstream, UpstreamDemand, UpstreamEntry } from './upstream.js'
 import { monotonicNow } from '@arbutustray/core'
 import { createColdRateLimit } from './cold-rate-limit.js'
@@ -26,6 +28,8 @@
 import { createRouteIndex } from './route-index.js'
 import { createRegionShiftLimit } from './region-shift-limit.js'
 import { createOutlierDetection } from './outlier-detection.js'
+import { createTeamIndex, identifyTeam } from './team-index.js'
+import { createUnlimitedQuota } from './team-quota.js'
 import { createStatementRecorder } from './upstream-statements.js'
 import { createUpstreamTable } from './upstream-table.js'
 import { createZoneRoundTrips } from './zone-round-trips.js'
@@ -38,6 +42,8 @@
   readonly retries: RetryBudgetBound
   /** A cold upstream gets at most `coldRate * factor + extra` requests per second, with its service's `coldRate`. */
   readonly cold: { readonly factor: number, readonly extra: number }
+  /** Limits the requests of teams; no limit if absent. */
+  readonly teamQuota?: TeamQuota
 }
 
 export interface Steering {
@@ -59,7 +65,7 @@
 /** Limits for a service that the deployment does not list. */
 const UNCONFIGURED_SERVICE = { coldRate: 1, connectionLimit: 1 } as const
 
-/** Smallest priority number by service. */
+/** Smallest priority number of a route by service. */
 function topPriorities ({ routes }: Deployment): Map<string, number> {
   const priorities = new Map<string, number>()
   for (const { parts, priority } of routes) {
@@ -82,6 +88,7 @@
   let routes: RouteIndex | undefined
   let services = new Map<string, Deployment['services'][number]>()
   let priorities = new Map<string, number>()
+  let teams: TeamIndex | undefined
   let evacuations: ReadonlySet<string> = new Set()
 
   function upstreamLimitsOf (service: string): UpstreamLimits {
@@ -92,12 +99,27 @@
     }
   }
 
-  const hasTopPriority = (route: Route): boolean =>
+  /** Teams are compared first, then routes. An anonymous request has the priority of the least urgent team. */
+  const hasTopPriority = (route: Route, team: Team | undefined): boolean =>
+    (teams === undefined || (team?.priority ?? teams.lowestPriority) <= teams.topPriority) &&
     route.parts.every(({ service }) => route.priority <= (priorities.get(service) ?? Infinity))
   const placement = createPlacement({
     upstreams, ranking: createRanking(self.region, [...new Set(Object.values(regions))]), coldRateLimit, requestLimit, roundTrips, regionShiftLimit: createRegionShiftLimit(), upstreamLimitsOf, isEvacuated: zone => evacuations.has(zone)
   })
-  const lifecycle = createRequestLifecycle({ upstreams, outlierDetection, placement, coldRateLimit, requestLimit, statements, retryBudget, roundTrips, findRoute: (host, path) => routes?.find(host, path), hasTopPriority })
+  const lifecycle = createRequestLifecycle({
+    upstreams,
+    outlierDetection,
+    placement,
+    coldRateLimit,
+    requestLimit,
+    statements,
+    retryBudget,
+    roundTrips,
+    teamQuota: options.teamQuota ?? createUnlimitedQuota(),
+    findRoute: (host, path) => routes?.find(host, path),
+    identify: (apiKey, route) => identifyTeam(teams, apiKey, route),
+    hasTopPriority
+  })
 
   function putUpstream (entry: UpstreamEntry, now: number): readonly SteeringCommand[] {
     const wasDraining = upstreams.get(entry.id)?.entry.state === 'draining'
@@ -168,7 +190,12 @@
       routes = createRouteIndex(deployment)
       services = new Map(deployment.services.map(service => [service.name, service]))
       priorities = topPriorities(deployment)
-      return [{ type: 'note', subject: 'deployment', id: String(deployment.version), detail: `${deployment.routes.length} routes` }]
+      teams = deployment.teams === undefined ? undefined : createTeamIndex(deployment.teams)
+      const conflicts = teams?.conflicts ?? []
+      return [
+        { type: 'note', subject: 'deployment', id: String(deployment.version), detail: `${deployment.routes.length} routes` },
+        ...conflicts.map(({ team, earlierTeam, keys }) => ({ type: 'note', subject: 'team-key-conflict', id: team, detail: `${keys} of its API keys belong to ${earlierTeam}` }) as const)
+      ]
     },
     'upstreams-listed': (event, now) => {
       const commands = event.entries.flatMap(entry => putUpstream(entry, now))
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -1,6 +1,7 @@
 /**
  * The catalogue of log events. Each event has a stable id and number, so that alerts can refer to it, a level, a
- * message template and the fields that it carries. Fields never hold tokens, idempotency keys or request bodies.
+ * message template and the fields that it carries. Fields never hold tokens, API keys,
+ * idempotency keys or request bodies.
  */
 
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug'
@@ -115,31 +116,31 @@
     number: 2101,
     level: 'info',
     message: 'request {requestId} answered by an upstream with status {status}',
-    fields: ['requestId', 'route', 'status', 'durationMs', 'version', 'decisions']
+    fields: ['requestId', 'route', 'team', 'status', 'durationMs', 'version', 'decisions']
   },
   'request-refused': {
     number: 2102,
     level: 'info',
     message: 'request {requestId} refused with status {status}: {reason}; it has not run',
-    fields: ['requestId', 'route', 'status', 'reason', 'retryAfterMs', 'durationMs', 'version', 'decisions']
+    fields: ['requestId', 'route', 'team', 'status', 'reason', 'retryAfterMs', 'durationMs', 'version', 'decisions']
   },
   'request-unanswered': {
     number: 2103,
     level: 'warn',
     message: 'request {requestId} ended with status {status}: {reason}; it may have run',
-    fields: ['requestId', 'route', 'status', 'reason', 'durationMs', 'version', 'decisions']
+    fields: ['requestId', 'route', 'team', 'status', 'reason', 'durationMs', 'version', 'decisions']
   },
   'request-abandoned': {
     number: 2104,
     level: 'info',
     message: 'caller of request {requestId} closed its connection',
-    fields: ['requestId', 'durationMs', 'decisions']
+    fields: ['requestId', 'team', 'durationMs', 'decisions']
   },
   'request-not-sent': {
     number: 2105,
     level: 'info',
     message: 'request {requestId} ended with status {status}: {reason}; it was not sent to an upstream',
-    fields: ['requestId', 'route', 'status', 'reason', 'durationMs', 'version', 'decisions']
+    fields: ['requestId', 'route', 'team', 'status', 'reason', 'durationMs', 'version', 'decisions']
   },
   'attempt-failed': {
     number: 3001,
@@ -238,6 +239,12 @@
     message: 'reading of {kind} from the store {state}, at revision {revision}',
     fields: ['kind', 'state', 'revision']
   },
+  'team-key-conflict': {
+    number: 5107,
+    level: 'warn',
+    message: 'API keys of team {team} do not identify it: {detail}',
+    fields: ['team', 'detail']
+  },
   'change-confirmed': {
     number: 6001,
     level: 'info',
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -47,6 +47,11 @@
     help: 'Answers to callers by route, status and source (`upstream`, or the reason for which the instance itself answered).',
     labels: ['route', 'status', 'source']
   },
+  arbutustray_team_requests_total: {
+    type: 'counter',
+    help: 'Requests of teams by team and outcome (`admitted`, `over-quota`, `refused`); teams after the first 100 are counted as `other`.',
+    labels: ['team', 'outcome']
+  },
   arbutustray_answer_duration_seconds: {
     type: 'histogram',
     help: 'Time from the receipt of the head of a request to its answer, in seconds.',
