Divide the quotas of teams among the instances

A team's quota holds over all instances together, so each instance needs a share that it may use without asking. The base share follows the bandwidth of the link; leases and surplus tokens move with the polls between instances.

--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -1,6 +1,7 @@
 /**
  * Settings that a gateway is started with.
  */
+import type { QuotaLimits } from '@arbutustray/steering'
 import type { Dialect } from './dialect.js'
 
 export interface GatewaySettings {
@@ -36,5 +37,7 @@
   readonly retries: { readonly ratio: number, readonly extra: number, readonly windowMs: number }
   /** A cold upstream gets at most `coldRate * factor + extra` requests per second, with its service's `coldRate`. */
   readonly cold: { readonly factor: number, readonly extra: number }
+  /** How the limits on teams' requests are checked over all instances; `undefined` in a deployment without teams. */
+  readonly quota?: QuotaLimits
   readonly dialect: Dialect
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -103,7 +103,8 @@
     self: { id: self.id, zone: self.zone, region: self.region },
     regions: settings.regions,
     retries: settings.retries,
-    cold: settings.cold
+    cold: settings.cold,
+    ...(settings.quota === undefined ? {} : { quota: settings.quota })
   })
   const exchanges = new Map<string, HttpExchange>()
   const stopSchedule = createStopSchedule(settings.graceMs)
@@ -142,7 +143,8 @@
       const listed = new Set(entries.map(({ id }) => id))
       for (const id of directory.ids()) if (!listed.has(id)) directory.remove(id)
       entries.forEach(entry => directory.put(entry))
-      emit({ type: 'instances-counted', ids: directory.ids() })
+      const registered = [self, ...directory.peers()]
+      emit({ type: 'instances-counted', ids: registered.map(({ id }) => id), linkMbps: registered.map(({ linkMbps }) => linkMbps) })
     }
   })
   const upstreamClient = createUpstreamClient({ dialect, exchanges, emit, telemetry })
@@ -194,7 +196,7 @@
 
   const handlerOptions = { dialect, accepts, directory, maxTtlMs: settings.maxTtlMs, metrics }
   const report = (): InstanceReport => ({ accepts: accepts(), isReading: RESOURCE_KINDS.every(kind => !isCopiedFromPeers(kind)) })
-  const peerSync = startPeerSync({ self, seeds: settings.seeds, directory, replica, report, isCopiedFromPeers, readingForMs, demands: steering.limitedDemands, emit, telemetry })
+  const peerSync = startPeerSync({ self, seeds: settings.seeds, directory, replica, report, isCopiedFromPeers, readingForMs, demands: steering.limitedDemands, quota: steering, emit, telemetry })
   const listeners: ReadonlyArray<readonly [keyof GatewaySettings['addresses'], HttpListener]> = [
     ['caller', callerServer.listener],
     ['ready', createHttpListener({}, createReadyHandler(handlerOptions))],
--- a/packages/gateway/src/peer-sync.ts
+++ b/packages/gateway/src/peer-sync.ts
@@ -2,7 +2,7 @@
  * Polls the other instances and copies newer data from them, except for the kinds that this instance reads from the store
  * itself. The replies also update the directory: which instances are live and which of them read the store.
  */
-import type { InstanceDirectory, InstanceEntry, InstanceReport, SteeringEvent, UpstreamDemand } from '@arbutustray/steering'
+import type { ClockReading, InstanceDirectory, InstanceEntry, InstanceReport, QuotaGrant, QuotaRequest, Sighting, Steering, SteeringEvent, UpstreamDemand } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { SightingRow } from './sighting.js'
@@ -11,6 +11,7 @@
 import { Agent } from 'undici'
 import { createConnector } from './connector.js'
 import { fetchJson } from './fetch-json.js'
+import { parseQuotaRows, readQuotaRows } from './quota-rows.js'
 import { parseTarget } from './request-target.js'
 import { encodeSighting, parseSighting, readSightings } from './sighting.js'
 import { encodeDemand, readDemands } from './upstream-demand.js'
@@ -26,6 +27,8 @@
   readonly demands: readonly UpstreamDemand[]
   /** Other live instances of its region. */
   readonly sightings: readonly SightingRow[]
+  /** What the sender lends of its share of teams' quotas; absent if nothing was asked for. */
+  readonly grants?: readonly QuotaGrant[]
 }
 
 export interface PeerSyncOptions {
@@ -39,8 +42,9 @@
   readonly isCopiedFromPeers: (kind: ResourceKind) => boolean
   readonly readingForMs: (kind: ResourceKind) => number
   readonly demands: () => readonly UpstreamDemand[]
+  readonly quota: Pick<Steering, 'quotaRequests' | 'grantQuota' | 'leasedQuotaShares'>
   readonly emit: (event: SteeringEvent) => void
-  readonly telemetry: Pick<Telemetry, 'log'>
+  readonly telemetry: Pick<Telemetry, 'log' | 'metrics'>
 }
 
 export interface PeerSync {
@@ -80,6 +84,7 @@
   /** Ids of peers, and addresses of seeds, whose last poll failed; each is logged once until it replies. */
   const failedPollTargets = new Set<string>()
   const fetchingKinds = new Set<ResourceKind>()
+  let hasLoggedUnreadableQuota = false
 
   async function get<T> (address: string, path: string): Promise<T> {
     return await fetchJson(agent, { origin: `http://${address}`, path, timeoutMs: POLL_TIMEOUT_MS, maxBytes: MAX_REPLY_BYTES }) as T
@@ -103,16 +108,38 @@
     return RESOURCE_KINDS.filter(kind => options.isCopiedFromPeers(kind) && revisions[kind] > ownRevisions[kind])
   }
 
-  async function pollPeer (address: string, id: string): Promise<void> {
+  /** Invalid quota rows are ignored; the first are logged, as a peer of another build may send them in each poll. */
+  function logUnreadableQuota (peerId: string): void {
+    if (hasLoggedUnreadableQuota) return
+    hasLoggedUnreadableQuota = true
+    telemetry.log('quota-unreadable', { peerId })
+  }
+
+  function countLeases (direction: 'lent' | 'borrowed', grants: readonly QuotaGrant[]): void {
+    for (const [, share] of grants) if (share > 0) telemetry.metrics.increment('arbutustray_quota_leases_total', { direction })
+  }
+
+  function recordGrants (peerId: string, rows: unknown, askedAt: ClockReading): void {
+    const { rows: grants, isComplete } = readQuotaRows(rows)
+    if (!isComplete) logUnreadableQuota(peerId)
+    if (grants.length === 0) return
+    countLeases('borrowed', grants)
+    options.emit({ type: 'quota-granted', peerId, grants, askedAt })
+  }
+
+  async function pollPeer (address: string, id: string, quotaRequests: readonly QuotaRequest[] = []): Promise<void> {
     try {
       const askedAt = performance.now()
+      const askedAtWall = Date.now()
       // The poll itself shows that this instance is live, so it carries its state.
       const sender = encodeURIComponent(JSON.stringify(encodeSighting(directory.ownSighting(options.report()))))
-      const state = await get<PeerState>(address, `${STATE_PATH}?sender=${sender}`)
+      const quota = quotaRequests.length === 0 ? '' : `&quota=${encodeURIComponent(JSON.stringify(quotaRequests))}`
+      const state = await get<PeerState>(address, `${STATE_PATH}?sender=${sender}${quota}`)
       directory.recordReport(state.id, state, performance.now())
       directory.recordSightings(readSightings(state.sightings), askedAt)
       if (failedPollTargets.delete(id)) telemetry.log('peer-answers', { peerId: id })
       options.emit({ type: 'peer-demands-reported', peerId: state.id, demands: readDemands(state.demands) })
+      if (state.grants !== undefined) recordGrants(state.id, state.grants, { monotonic: askedAt, wall: askedAtWall })
       if (state.readingForMs >= MIN_READING_MS) replica.confirmRemovals(state.revisions.upstreams)
       await Promise.all(findOutdatedKinds(state.revisions).map(async kind => await fetchUpdate(address, state.id, kind)))
     } catch (error) {
@@ -130,11 +157,14 @@
       return
     }
     const addresses = new Map(peers.map(({ id, peerAddress }) => [id, peerAddress]))
-    for (const id of selection.next(directory.peerCandidates(performance.now()))) {
+    const ids = selection.next(directory.peerCandidates(performance.now()))
+    const quotaRequests = options.quota.quotaRequests(ids)
+    ids.forEach((id, index) => {
       const address = addresses.get(id)
       // `pollPeer` logs a failure itself.
-      if (address !== undefined) pollPeer(address, id).catch(() => {})
-    }
+      if (address !== undefined) pollPeer(address, id, quotaRequests[index]).catch(() => {})
+    })
+    telemetry.metrics.replace('arbutustray_team_quota_share', options.quota.leasedQuotaShares().map(([team, share]) => [{ team }, share]))
   }
 
   /** Polls some readers of the store, those of this instance's region first, if removals are unconfirmed. */
@@ -148,23 +178,34 @@
   const timers = [setInterval(pollPeers, POLL_INTERVAL_MS), setInterval(confirmRemovals, CONFIRMATION_INTERVAL_MS)]
   pollPeers()
 
-  /** Records the sender of a poll; returns whether it could be read. A poll of a client without a state names none. */
-  function recordSender (url: URL): boolean {
+  /** Records the sender of a poll; `unreadable` if it can't be read. A poll of a client without a state names none. */
+  function recordSender (url: URL): Sighting | undefined | 'unreadable' {
     const text = url.searchParams.get('sender')
-    if (text === null) return true
+    if (text === null) return undefined
     const sender = parseSighting(text)
     if (sender === undefined) {
       telemetry.log('poll-unreadable', { sender: text.slice(0, MAX_LOGGED_CHARACTERS) })
-      return false
+      return 'unreadable'
     }
     directory.recordSightings([sender], performance.now())
-    return true
+    return sender
+  }
+
+  /** What this instance lends the sender of a poll; `undefined` if it asks for nothing. */
+  function grantQuota (url: URL, sender: Sighting | undefined): readonly QuotaGrant[] | undefined {
+    const text = url.searchParams.get('quota')
+    if (text === null || sender === undefined) return undefined
+    const { rows, isComplete } = parseQuotaRows(text)
+    if (!isComplete) logUnreadableQuota(sender.id)
+    const grants = options.quota.grantQuota(sender.id, rows)
+    countLeases('lent', grants)
+    return grants.length === 0 ? undefined : grants
   }
 
-  function createResponseBody (url: URL): unknown {
+  function createResponseBody (url: URL, sender: Sighting | undefined): unknown {
     if (url.pathname === STATE_PATH) {
       const sightings = directory.sightings(performance.now()).map(encodeSighting)
-      return { id: self.id, ...options.report(), revisions: replica.revisions(), readingForMs: options.readingForMs('upstreams'), demands: options.demands().map(encodeDemand), sightings } satisfies PeerState
+      return { id: self.id, ...options.report(), revisions: replica.revisions(), readingForMs: options.readingForMs('upstreams'), demands: options.demands().map(encodeDemand), sightings, grants: grantQuota(url, sender) } satisfies PeerState
     }
     const kind = RESOURCE_KINDS.find(name => name === url.searchParams.get('kind'))
     if (url.pathname !== EXCERPT_PATH || kind === undefined) return undefined
@@ -175,11 +216,12 @@
     handle: (incoming, response) => {
       incoming.resume()
       const url = parseTarget(incoming)
-      if (url === undefined || !recordSender(url)) {
+      const sender = url === undefined ? undefined : recordSender(url)
+      if (url === undefined || sender === 'unreadable') {
         response.writeHead(400).end()
         return
       }
-      const body = createResponseBody(url)
+      const body = createResponseBody(url, sender)
       if (body === undefined) response.writeHead(404).end()
       else response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(body))
     },
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -2,7 +2,9 @@
  * Events that the program around the steering engine passes to it.
  */
 import type { Deployment } from './deployment.js'
+import type { ClockReading } from './quota-share.js'
 import type { StopLimits } from './stop-schedule.js'
+import type { QuotaGrant } from './team-quota.js'
 import type { UpstreamDemand, UpstreamEntry } from './upstream.js'
 import type { UpstreamStatements } from './upstream-statements.js'
 
@@ -118,6 +120,23 @@
   readonly type: 'instances-counted'
   /** Ids, the own one included. */
   readonly ids: readonly string[]
+  /** Bandwidth of each instance's link, in the order of `ids`; equal for all if absent. */
+  readonly linkMbps?: readonly number[]
+}
+
+/** A registered instance and the bandwidth of its link. */
+export interface InstanceLink {
+  readonly id: string
+  readonly linkMbps: number
+}
+
+/** Another instance lent parts of its share of teams' quotas, or handed over tokens. */
+export interface QuotaGranted {
+  readonly type: 'quota-granted'
+  readonly peerId: string
+  readonly grants: readonly QuotaGrant[]
+  /** Time at which the grants were asked for, on both clocks. */
+  readonly askedAt: ClockReading
 }
 
 /** Another instance reported its demand for upstreams that state a limit. */
@@ -133,3 +152,4 @@
 export type SteeringEvent =
   | Tick | StopBegun | RequestArrived | AttemptRefused | AttemptAnswered | AttemptBroken | RequestCancelled | UpstreamProbed
   | ZoneReached | DeploymentReceived | UpstreamsListed | UpstreamChanged | EvacuationsReceived | InstancesCounted | PeerDemandsReported
+  | QuotaGranted
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -13,6 +13,7 @@
 import type { SteeringEvent } from './event.js'
 import type { UpstreamLimits } from './placement.js'
 import type { RetryBudgetBound } from './retry-budget.js'
+import type { QuotaGrant, QuotaLimits, QuotaRequest } from './team-quota.js'
 import type { RouteIndex } from './route-index.js'
 import type { Upstream, UpstreamDemand, UpstreamEntry } from './upstream.js'
 import { monotonicNow } from '@arbutustray/core'
@@ -26,6 +27,7 @@
 import { createRouteIndex } from './route-index.js'
 import { createRegionShiftLimit } from './region-shift-limit.js'
 import { createOutlierDetection } from './outlier-detection.js'
+import { createQuotaExchange } from './team-quota.js'
 import { createStatementRecorder } from './upstream-statements.js'
 import { createUpstreamTable } from './upstream-table.js'
 import { createZoneRoundTrips } from './zone-round-trips.js'
@@ -38,6 +40,8 @@
   readonly retries: RetryBudgetBound
   /** A cold upstream gets at most `coldRate * factor + extra` requests per second, with its service's `coldRate`. */
   readonly cold: { readonly factor: number, readonly extra: number }
+  /** How the limits on teams are checked; `undefined` in a deployment without teams. */
+  readonly quota?: QuotaLimits
 }
 
 export interface Steering {
@@ -49,6 +53,12 @@
   readonly evacuations: () => readonly string[]
   /** This instance's demand for upstreams that state a limit, for the other instances. */
   readonly limitedDemands: () => readonly UpstreamDemand[]
+  /** What this instance asks each of the instances for to cover shortages of teams' quotas, in their order. */
+  readonly quotaRequests: (peerIds: readonly string[]) => ReadonlyArray<readonly QuotaRequest[]>
+  /** Grants another instance what this one does not need of teams' quotas. */
+  readonly grantQuota: (peerId: string, requests: readonly QuotaRequest[]) => readonly QuotaGrant[]
+  /** Shares of the quotas for which this instance holds leases, by team. */
+  readonly leasedQuotaShares: () => ReadonlyArray<readonly [team: string, share: number]>
   /** Number of requests without a final answer. */
   readonly pending: () => number
 }
@@ -78,6 +88,7 @@
   const requestLimit = createRequestLimit(self.id, instanceShare, upstreams)
   const statements = createStatementRecorder(upstreams, requestLimit)
   const retryBudget = createRetryBudget(options.retries, instanceShare.count)
+  const teamQuota = createQuotaExchange({ self: self.id, limits: options.quota, startedAt: monotonicNow() })
   let deployment: Deployment | undefined
   let routes: RouteIndex | undefined
   let services = new Map<string, Deployment['services'][number]>()
@@ -140,6 +151,7 @@
       for (const id of upstreams.overdueIds(now)) commands.push(...removeUpstream(id, 'not registered again'))
       for (const upstream of outlierDetection.claimDueProbes(now)) commands.push(createProbe(upstream))
       commands.push(...lifecycle.onTick(now))
+      teamQuota.prune(now)
       return commands
     },
     'request-arrived': (event, now) => lifecycle.onRequestArrived(event, deployment !== undefined, now),
@@ -162,12 +174,13 @@
       roundTrips.record(event.zone, event.roundTripMs)
       return NO_COMMANDS
     },
-    'deployment-received': event => {
+    'deployment-received': (event, now) => {
       if (deployment !== undefined && event.deployment.version <= deployment.version) return NO_COMMANDS
       deployment = event.deployment
       routes = createRouteIndex(deployment)
       services = new Map(deployment.services.map(service => [service.name, service]))
       priorities = topPriorities(deployment)
+      teamQuota.updateTeams(deployment.teams ?? [], now)
       return [{ type: 'note', subject: 'deployment', id: String(deployment.version), detail: `${deployment.routes.length} routes` }]
     },
     'upstreams-listed': (event, now) => {
@@ -197,13 +210,18 @@
       lifecycle.onStopBegun(event)
       return NO_COMMANDS
     },
-    'instances-counted': event => {
+    'instances-counted': (event, now) => {
       instanceShare.update(event.ids)
+      teamQuota.updateInstances(event.ids.map((id, index) => ({ id, linkMbps: event.linkMbps?.[index] ?? 1 })), now)
       return NO_COMMANDS
     },
     'peer-demands-reported': (event, now) => {
       requestLimit.recordPeerDemands(event.peerId, event.demands, now)
       return NO_COMMANDS
+    },
+    'quota-granted': (event, now) => {
+      teamQuota.recordGrants(event.grants, event.askedAt, now)
+      return NO_COMMANDS
     }
   }
 
@@ -213,6 +231,9 @@
     upstreams: () => upstreams.all(),
     evacuations: () => [...evacuations],
     limitedDemands: () => requestLimit.demands(monotonicNow()),
+    quotaRequests: peerIds => teamQuota.requests(peerIds, monotonicNow()),
+    grantQuota: (peerId, requests) => teamQuota.grant(peerId, requests, monotonicNow()),
+    leasedQuotaShares: () => teamQuota.leasedShares(monotonicNow()),
     pending: lifecycle.pendingCount
   }
 }
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -187,6 +187,12 @@
     fields: ['kind', 'revision', 'peerId']
   },
   'poll-unreadable': { number: 4104, level: 'warn', message: 'a poll was rejected because its sender can\'t be read: {sender}', fields: ['sender'] },
+  'quota-unreadable': {
+    number: 4105,
+    level: 'warn',
+    message: 'quota rows from instance {peerId} can\'t be read and are ignored; later ones are not logged',
+    fields: ['peerId']
+  },
   'configuration-adopted': {
     number: 5001,
     level: 'info',
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -79,6 +79,12 @@
     help: 'Changes of upstreams, configuration and zone evacuations that the instance registered, by subject.',
     labels: ['subject']
   },
+  arbutustray_team_quota_share: { type: 'gauge', help: 'Share of the quota of a team that this instance holds, for teams with leases.', labels: ['team'] },
+  arbutustray_quota_leases_total: {
+    type: 'counter',
+    help: 'Leases of shares of quotas between instances by direction (`lent` or `borrowed`).',
+    labels: ['direction']
+  },
   arbutustray_queue_length: { type: 'gauge', help: 'Requests that wait for a slot, by service.', labels: ['service'] },
   arbutustray_outstanding_attempts: { type: 'gauge', help: 'Attempts that have not ended, by service.', labels: ['service'] },
   arbutustray_configuration_version: { type: 'gauge', help: 'Version of the configuration in force; 0 without one.', labels: [] },
