Ask the instances with large shares for parts of quotas

Instances that the directory names only in a failure weigh a tenth of their bandwidth, so that their shares don't lie idle.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 import type { HttpListener } from './http-listener.js'
 import type { StoreReplica, ResourceKind } from './store-replica.js'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
+import { callerWeights, createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
 import { createRateLimitedLog, createMetrics } from '@arbutustray/telemetry'
 import { createAcceptReport } from './accept-report.js'
 import { createConnectionBudget } from './connection-budget.js'
@@ -144,7 +144,7 @@
       for (const id of directory.ids()) if (!listed.has(id)) directory.remove(id)
       entries.forEach(entry => directory.put(entry))
       const registered = [self, ...directory.peers()]
-      emit({ type: 'instances-counted', ids: registered.map(({ id }) => id), linkMbps: registered.map(({ linkMbps }) => linkMbps) })
+      emit({ type: 'instances-counted', ids: registered.map(({ id }) => id), weights: callerWeights(registered) })
     }
   })
   const upstreamClient = createUpstreamClient({ dialect, exchanges, emit, telemetry })
--- a/packages/gateway/src/peer-sync.ts
+++ b/packages/gateway/src/peer-sync.ts
@@ -2,7 +2,7 @@
  * Polls the other instances and copies newer data from them, except for the kinds that this instance reads from the store
  * itself. The replies also update the directory: which instances are live and which of them read the store.
  */
-import type { ClockReading, InstanceDirectory, InstanceEntry, InstanceReport, QuotaGrant, QuotaRequest, Sighting, Steering, SteeringEvent, UpstreamDemand } from '@arbutustray/steering'
+import type { ClockReading, InstanceDirectory, InstanceEntry, InstanceReport, QuotaGrant, QuotaInquiry, Sighting, Steering, SteeringEvent, UpstreamDemand } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { SightingRow } from './sighting.js'
@@ -27,10 +27,11 @@
   readonly demands: readonly UpstreamDemand[]
   /** Other live instances of its region. */
   readonly sightings: readonly SightingRow[]
-  /** What the sender lends of its share of teams' quotas; absent if nothing was asked for. */
-  readonly grants?: readonly QuotaGrant[]
 }
 
+/** Reply of an instance to an inquiry for parts of teams' quotas. */
+interface QuotaReply { readonly grants: readonly QuotaGrant[] }
+
 export interface PeerSyncOptions {
   readonly self: InstanceEntry
   readonly seeds: readonly string[]
@@ -42,7 +43,7 @@
   readonly isCopiedFromPeers: (kind: ResourceKind) => boolean
   readonly readingForMs: (kind: ResourceKind) => number
   readonly demands: () => readonly UpstreamDemand[]
-  readonly quota: Pick<Steering, 'quotaRequests' | 'grantQuota' | 'leasedQuotaShares'>
+  readonly quota: Pick<Steering, 'quotaInquiries' | 'grantQuota' | 'leasedQuotaShares'>
   readonly emit: (event: SteeringEvent) => void
   readonly telemetry: Pick<Telemetry, 'log' | 'metrics'>
 }
@@ -75,6 +76,11 @@
 const MAX_LOGGED_CHARACTERS = 200
 const STATE_PATH = '/state'
 const EXCERPT_PATH = '/excerpt'
+const QUOTA_PATH = '/quota'
+/** Interval of the inquiries for parts of quotas while there is a shortage. */
+const QUOTA_INTERVAL_MS = 500
+/** Limit on the teams in the labels of a metric. */
+const MAX_TEAM_LABELS = 100
 
 export function startPeerSync (options: PeerSyncOptions): PeerSync {
   const { self, directory, replica, telemetry } = options
@@ -108,6 +114,11 @@
     return RESOURCE_KINDS.filter(kind => options.isCopiedFromPeers(kind) && revisions[kind] > ownRevisions[kind])
   }
 
+  /** A poll or inquiry itself shows that this instance is live, so it carries its state. */
+  function encodeSender (): string {
+    return encodeURIComponent(JSON.stringify(encodeSighting(directory.ownSighting(options.report()))))
+  }
+
   /** Invalid quota rows are ignored; the first are logged, as a peer of another build may send them in each poll. */
   function logUnreadableQuota (peerId: string): void {
     if (hasLoggedUnreadableQuota) return
@@ -127,19 +138,14 @@
     options.emit({ type: 'quota-granted', peerId, grants, askedAt })
   }
 
-  async function pollPeer (address: string, id: string, quotaRequests: readonly QuotaRequest[] = []): Promise<void> {
+  async function pollPeer (address: string, id: string): Promise<void> {
     try {
       const askedAt = performance.now()
-      const askedAtWall = Date.now()
-      // The poll itself shows that this instance is live, so it carries its state.
-      const sender = encodeURIComponent(JSON.stringify(encodeSighting(directory.ownSighting(options.report()))))
-      const quota = quotaRequests.length === 0 ? '' : `&quota=${encodeURIComponent(JSON.stringify(quotaRequests))}`
-      const state = await get<PeerState>(address, `${STATE_PATH}?sender=${sender}${quota}`)
+      const state = await get<PeerState>(address, `${STATE_PATH}?sender=${encodeSender()}`)
       directory.recordReport(state.id, state, performance.now())
       directory.recordSightings(readSightings(state.sightings), askedAt)
       if (failedPollTargets.delete(id)) telemetry.log('peer-answers', { peerId: id })
       options.emit({ type: 'peer-demands-reported', peerId: state.id, demands: readDemands(state.demands) })
-      if (state.grants !== undefined) recordGrants(state.id, state.grants, { monotonic: askedAt, wall: askedAtWall })
       if (state.readingForMs >= MIN_READING_MS) replica.confirmRemovals(state.revisions.upstreams)
       await Promise.all(findOutdatedKinds(state.revisions).map(async kind => await fetchUpdate(address, state.id, kind)))
     } catch (error) {
@@ -157,14 +163,32 @@
       return
     }
     const addresses = new Map(peers.map(({ id, peerAddress }) => [id, peerAddress]))
-    const ids = selection.next(directory.peerCandidates(performance.now()))
-    const quotaRequests = options.quota.quotaRequests(ids)
-    ids.forEach((id, index) => {
+    for (const id of selection.next(directory.peerCandidates(performance.now()))) {
       const address = addresses.get(id)
       // `pollPeer` logs a failure itself.
-      if (address !== undefined) pollPeer(address, id, quotaRequests[index]).catch(() => {})
-    })
-    telemetry.metrics.replace('arbutustray_team_quota_share', options.quota.leasedQuotaShares().map(([team, share]) => [{ team }, share]))
+      if (address !== undefined) pollPeer(address, id).catch(() => {})
+    }
+  }
+
+  async function askForQuota (address: string, { peerId, requests }: QuotaInquiry): Promise<void> {
+    const askedAt = { monotonic: performance.now(), wall: Date.now() }
+    const rows = encodeURIComponent(JSON.stringify(requests))
+    const { grants } = await get<QuotaReply>(address, `${QUOTA_PATH}?sender=${encodeSender()}&rows=${rows}`)
+    recordGrants(peerId, grants, askedAt)
+  }
+
+  /** Asks live instances for parts of the quotas of teams with a shortage; without one, nothing is sent. */
+  function exchangeQuota (): void {
+    const liveIds = directory.peerCandidates(performance.now()).filter(({ isLive, hasFailed }) => isLive && !hasFailed).map(({ id }) => id)
+    const inquiries = options.quota.quotaInquiries(liveIds)
+    const addresses = inquiries.length === 0 ? new Map<string, string>() : new Map(directory.peers().map(({ id, peerAddress }) => [id, peerAddress]))
+    for (const inquiry of inquiries) {
+      const address = addresses.get(inquiry.peerId)
+      // An instance that does not answer grants nothing; the polls log it.
+      if (address !== undefined) askForQuota(address, inquiry).catch(() => {})
+    }
+    const shares = options.quota.leasedQuotaShares().slice(0, MAX_TEAM_LABELS)
+    telemetry.metrics.replace('arbutustray_team_quota_share', shares.map(([team, share]) => [{ team }, share]))
   }
 
   /** Polls some readers of the store, those of this instance's region first, if removals are unconfirmed. */
@@ -175,7 +199,7 @@
     for (const { id, peerAddress } of readers.slice(0, CONFIRMING_READERS)) pollPeer(peerAddress, id).catch(() => {})
   }
 
-  const timers = [setInterval(pollPeers, POLL_INTERVAL_MS), setInterval(confirmRemovals, CONFIRMATION_INTERVAL_MS)]
+  const timers = [setInterval(pollPeers, POLL_INTERVAL_MS), setInterval(exchangeQuota, QUOTA_INTERVAL_MS), setInterval(confirmRemovals, CONFIRMATION_INTERVAL_MS)]
   pollPeers()
 
   /** Records the sender of a poll; `unreadable` if it can't be read. A poll of a client without a state names none. */
@@ -191,22 +215,23 @@
     return sender
   }
 
-  /** What this instance lends the sender of a poll; `undefined` if it asks for nothing. */
-  function grantQuota (url: URL, sender: Sighting | undefined): readonly QuotaGrant[] | undefined {
-    const text = url.searchParams.get('quota')
+  /** Reply to an inquiry; `undefined` if it names no sender or asks for nothing. */
+  function grantQuota (url: URL, sender: Sighting | undefined): QuotaReply | undefined {
+    const text = url.searchParams.get('rows')
     if (text === null || sender === undefined) return undefined
     const { rows, isComplete } = parseQuotaRows(text)
     if (!isComplete) logUnreadableQuota(sender.id)
     const grants = options.quota.grantQuota(sender.id, rows)
     countLeases('lent', grants)
-    return grants.length === 0 ? undefined : grants
+    return { grants }
   }
 
   function createResponseBody (url: URL, sender: Sighting | undefined): unknown {
     if (url.pathname === STATE_PATH) {
       const sightings = directory.sightings(performance.now()).map(encodeSighting)
-      return { id: self.id, ...options.report(), revisions: replica.revisions(), readingForMs: options.readingForMs('upstreams'), demands: options.demands().map(encodeDemand), sightings, grants: grantQuota(url, sender) } satisfies PeerState
+      return { id: self.id, ...options.report(), revisions: replica.revisions(), readingForMs: options.readingForMs('upstreams'), demands: options.demands().map(encodeDemand), sightings } satisfies PeerState
     }
+    if (url.pathname === QUOTA_PATH) return grantQuota(url, sender)
     const kind = RESOURCE_KINDS.find(name => name === url.searchParams.get('kind'))
     if (url.pathname !== EXCERPT_PATH || kind === undefined) return undefined
     return replica.updateSince(kind, Number(url.searchParams.get('after') ?? -1))
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -120,14 +120,14 @@
   readonly type: 'instances-counted'
   /** Ids, the own one included. */
   readonly ids: readonly string[]
-  /** Bandwidth of each instance's link, in the order of `ids`; equal for all if absent. */
-  readonly linkMbps?: readonly number[]
+  /** Callers that each instance can expect, relative to the others, in the order of `ids`; equal for all if absent. */
+  readonly weights?: readonly number[]
 }
 
-/** A registered instance and the bandwidth of its link. */
-export interface InstanceLink {
+/** A registered instance and the callers that it can expect, relative to the others. */
+export interface InstanceWeight {
   readonly id: string
-  readonly linkMbps: number
+  readonly weight: number
 }
 
 /** Another instance lent parts of its share of teams' quotas, or handed over tokens. */
--- a/packages/steering/src/instance-directory.ts
+++ b/packages/steering/src/instance-directory.ts
@@ -94,6 +94,21 @@
   return wide.length >= MIN_ADDRESSES ? wide : entries
 }
 
+/** Callers that the directory sends to instances with narrow links, relative to their bandwidth: only those of a failure. */
+const NARROW_LINK_WEIGHT = 0.1
+
+/**
+ * Callers that each instance can expect from the directory, relative to the others. In each region the bandwidth counts;
+ * instances that are named only when others fail count for less.
+ */
+export function callerWeights (entries: readonly InstanceEntry[]): readonly number[] {
+  const named = new Set<string>()
+  for (const region of new Set(entries.map(entry => entry.region))) {
+    for (const { id } of withWideLinks(entries.filter(entry => entry.region === region))) named.add(id)
+  }
+  return entries.map(({ id, linkMbps }) => linkMbps * (named.has(id) ? 1 : NARROW_LINK_WEIGHT))
+}
+
 export function createInstanceDirectory (self: InstanceEntry, selfAccepts: () => boolean): InstanceDirectory {
   const rows = new Map<string, Row>([[self.id, { entry: self, addressHash: hash32(self.peerAddress), answeredAt: Infinity, hasFailed: false, accepts: true, isReading: false }]])
   /** Computed again after a change of the rows. */
--- a/packages/steering/src/quota-share.ts
+++ b/packages/steering/src/quota-share.ts
@@ -2,12 +2,12 @@
  * The share of the teams' quotas that this instance may use. All shares together never exceed 1, also during a network
  * partition, after a kill and while messages are delayed:
  *
- * - The base share is the instance's link bandwidth relative to that of all registered instances, also those that do not
- *   answer. Most callers use the instances with the widest links, so these get the largest shares.
+ * - The base share is the instance's weight relative to that of all registered instances, also those that do not answer. The
+ *   weight is the bandwidth of its link, which decides how many callers use it; see `callerWeights`.
  * - Leases move a part of a share between two instances for a limited time. The lender stops using the part at once; the
  *   borrower's lease began when it sent its request, so it ends first.
  */
-import type { InstanceLink } from './event.js'
+import type { InstanceWeight } from './event.js'
 
 /** Readings of both clocks at one moment, in milliseconds. */
 export interface ClockReading {
@@ -16,7 +16,7 @@
 }
 
 export interface QuotaShare {
-  readonly update: (instances: readonly InstanceLink[]) => void
+  readonly update: (instances: readonly InstanceWeight[]) => void
   readonly includes: (id: string) => boolean
   /** Base share of a registered instance; 0 for another, and until the instances are known. */
   readonly baseShare: (id: string) => number
@@ -66,8 +66,8 @@
 }
 
 export function createQuotaShare (self: string, startedAt: number): QuotaShare {
-  let links: ReadonlyMap<string, number> = new Map()
-  let totalMbps = 0
+  let weights: ReadonlyMap<string, number> = new Map()
+  let totalWeight = 0
   const leasesByTeam = new Map<string, Leases>()
 
   function current (team: string, now: ClockReading): Leases {
@@ -87,7 +87,7 @@
   }
 
   function baseShare (id: string): number {
-    return totalMbps > 0 ? (links.get(id) ?? 0) / totalMbps : 0
+    return totalWeight > 0 ? (weights.get(id) ?? 0) / totalWeight : 0
   }
 
   /** Whether leases that a predecessor of this process granted may still be valid. */
@@ -97,10 +97,10 @@
 
   return {
     update: instances => {
-      links = new Map(instances.map(({ id, linkMbps }) => [id, linkMbps]))
-      totalMbps = instances.reduce((sum, { linkMbps }) => sum + linkMbps, 0)
+      weights = new Map(instances.map(({ id, weight }) => [id, weight]))
+      totalWeight = instances.reduce((sum, { weight }) => sum + weight, 0)
     },
-    includes: id => links.has(id),
+    includes: id => weights.has(id),
     baseShare,
     held: (team, now) => {
       const { lent, borrowed } = current(team, now)
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -13,7 +13,7 @@
 import type { SteeringEvent } from './event.js'
 import type { UpstreamLimits } from './placement.js'
 import type { RetryBudgetBound } from './retry-budget.js'
-import type { QuotaGrant, QuotaLimits, QuotaRequest } from './team-quota.js'
+import type { QuotaGrant, QuotaInquiry, QuotaLimits, QuotaRequest } from './team-quota.js'
 import type { RouteIndex } from './route-index.js'
 import type { Upstream, UpstreamDemand, UpstreamEntry } from './upstream.js'
 import { monotonicNow } from '@arbutustray/core'
@@ -53,8 +53,8 @@
   readonly evacuations: () => readonly string[]
   /** This instance's demand for upstreams that state a limit, for the other instances. */
   readonly limitedDemands: () => readonly UpstreamDemand[]
-  /** What this instance asks each of the instances for to cover shortages of teams' quotas, in their order. */
-  readonly quotaRequests: (peerIds: readonly string[]) => ReadonlyArray<readonly QuotaRequest[]>
+  /** What this instance asks live instances for to cover shortages of teams' quotas. */
+  readonly quotaInquiries: (liveIds: readonly string[]) => readonly QuotaInquiry[]
   /** Grants another instance what this one does not need of teams' quotas. */
   readonly grantQuota: (peerId: string, requests: readonly QuotaRequest[]) => readonly QuotaGrant[]
   /** Shares of the quotas for which this instance holds leases, by team. */
@@ -212,7 +212,7 @@
     },
     'instances-counted': (event, now) => {
       instanceShare.update(event.ids)
-      teamQuota.updateInstances(event.ids.map((id, index) => ({ id, linkMbps: event.linkMbps?.[index] ?? 1 })), now)
+      teamQuota.updateInstances(event.ids.map((id, index) => ({ id, weight: event.weights?.[index] ?? 1 })), now)
       return NO_COMMANDS
     },
     'peer-demands-reported': (event, now) => {
@@ -231,7 +231,7 @@
     upstreams: () => upstreams.all(),
     evacuations: () => [...evacuations],
     limitedDemands: () => requestLimit.demands(monotonicNow()),
-    quotaRequests: peerIds => teamQuota.requests(peerIds, monotonicNow()),
+    quotaInquiries: liveIds => teamQuota.inquiries(liveIds, monotonicNow()),
     grantQuota: (peerId, requests) => teamQuota.grant(peerId, requests, monotonicNow()),
     leasedQuotaShares: () => teamQuota.leasedShares(monotonicNow()),
     pending: lifecycle.pendingCount
--- a/packages/steering/src/team-quota.ts
+++ b/packages/steering/src/team-quota.ts
@@ -8,7 +8,7 @@
  * those that were sent with it.
  */
 import type { Quota, Team } from './deployment.js'
-import type { InstanceLink } from './event.js'
+import type { InstanceWeight } from './event.js'
 import type { ClockReading } from './quota-share.js'
 import { wallNow } from '@arbutustray/core'
 import { createQuotaShare, LEASE_MS, MAX_LENT_RATIO } from './quota-share.js'
@@ -40,11 +40,19 @@
 /** Share of the quota that one instance lends another, and tokens that it hands over. */
 export type QuotaGrant = readonly [team: string, share: number, tokens: number]
 
+/** What an instance asks another one for. */
+export interface QuotaInquiry {
+  readonly peerId: string
+  readonly requests: readonly QuotaRequest[]
+}
+
 export interface QuotaExchange extends TeamQuota {
   readonly updateTeams: (teams: readonly Team[], now: number) => void
-  readonly updateInstances: (instances: readonly InstanceLink[], now: number) => void
-  /** What this instance asks each of the instances for, in their order; the shortage is divided by their base shares. */
-  readonly requests: (peerIds: readonly string[], now: number) => ReadonlyArray<readonly QuotaRequest[]>
+  readonly updateInstances: (instances: readonly InstanceWeight[], now: number) => void
+  /**
+   * What this instance asks other live instances for; the shortage is divided by their base shares. Empty without a shortage.
+   */
+  readonly inquiries: (liveIds: readonly string[], now: number) => readonly QuotaInquiry[]
   /** Lends and hands over what this instance doesn't need; nothing to an instance that is not registered. */
   readonly grant: (peerId: string, requests: readonly QuotaRequest[], now: number) => readonly QuotaGrant[]
   /** Takes over what another instance granted in reply to a request sent at `askedAt`; returns the number of leases. */
@@ -89,10 +97,18 @@
 const MIN_DEMAND_PER_SECOND = 0.02
 /** Share of the quota that an instance keeps or asks for, relative to its demand. */
 const DEMAND_HEADROOM = 1.15
-/** Time for which an instance keeps or asks for the tokens of a usual variation of its demand: two exchanges. */
-const RESERVE_SECONDS = 2
+/**
+ * Times for which an instance asks for, and keeps, the tokens of a usual variation of its demand. An instance that kept as
+ * many as it asks for would seldom have any to hand over while demand is near the quota.
+ */
+const ASKED_RESERVE_SECONDS = 3
+const KEPT_RESERVE_SECONDS = 0.5
 /** An instance asks each of several others for this multiple of their part of its shortage, as not all have a surplus. */
 const REQUEST_FACTOR = 2
+/** Limit on the instances that are asked at once. */
+const MAX_LENDERS = 12
+/** Base share relative to the largest below which an instance is asked only if there are too few others. */
+const MIN_LENDER_RATIO = 0.25
 /** Limit on the teams in one request. */
 export const MAX_REQUESTED_TEAMS = 32
 /** Smaller amounts are not worth the bytes that they take. */
@@ -123,6 +139,7 @@
   let lowBaseShare = Infinity
   let lowBaseShareUntil = -Infinity
   let prunedAt = -Infinity
+  let turn = 0
 
   function read (now: number): ClockReading {
     return { monotonic: now, wall: readWall() }
@@ -181,14 +198,14 @@
     return bucket.demand * Math.exp((bucket.demandAt - now) / DEMAND_AVERAGE_MS)
   }
 
-  /** Tokens and share of the quota that the instance needs itself. */
-  function needOf (bucket: Bucket, now: number): { readonly share: number, readonly tokens: number } {
+  /** Tokens and share of the quota that the instance needs itself, with tokens for the variation of its demand in a time. */
+  function needOf (bucket: Bucket, reserveSeconds: number, now: number): { readonly share: number, readonly tokens: number } {
     const capacity = capacityOf(bucket.quota)
     const demand = demandOf(bucket, now)
     const isIdle = demand < MIN_DEMAND_PER_SECOND
     // One token for a first request, if the instance can hold one.
     if (isIdle && share.baseShare(self) * capacity < 1) return { share: 0, tokens: 0 }
-    const tokens = isIdle ? 1 : Math.min(capacity, 1 + Math.sqrt(demand * RESERVE_SECONDS))
+    const tokens = isIdle ? 1 : Math.min(capacity, 1 + Math.sqrt(demand * reserveSeconds))
     const rateShare = isIdle ? 0 : demand * DEMAND_HEADROOM / Math.max(bucket.quota.ratePerSecond, MIN_DEMAND_PER_SECOND)
     return { share: Math.min(1, Math.max(rateShare, tokens / Math.max(1, capacity))), tokens }
   }
@@ -199,19 +216,30 @@
     for (const [team, bucket] of buckets) {
       if (!quotas.has(team) || demandOf(bucket, now) < MIN_DEMAND_PER_SECOND) continue
       settle(team, bucket, now)
-      const need = needOf(bucket, now)
+      const need = needOf(bucket, ASKED_RESERVE_SECONDS, now)
       const missing = [team, Math.max(0, need.share - bucket.held), Math.max(0, need.tokens - available(bucket, now))] as const
       if (missing[1] >= MIN_SHARE || missing[2] >= MIN_TOKENS) found.push(missing)
     }
     return found.sort((a, b) => b[1] - a[1] || b[2] - a[2]).slice(0, MAX_REQUESTED_TEAMS)
   }
 
+  /** The instances with the largest base shares, in turn if there are more than are asked at once. */
+  function selectLenders (liveIds: readonly string[]): readonly string[] {
+    const largest = Math.max(0, ...liveIds.map(share.baseShare))
+    const isLarge = (id: string): boolean => share.baseShare(id) >= largest * MIN_LENDER_RATIO
+    turn += 1
+    return [liveIds.filter(isLarge), liveIds.filter(id => !isLarge(id))].flatMap(ids => {
+      const from = ids.length === 0 ? 0 : turn * MAX_LENDERS % ids.length
+      return [...ids.slice(from), ...ids.slice(0, from)]
+    }).slice(0, MAX_LENDERS)
+  }
+
   function grantOne ([team, askedShare, askedTokens]: QuotaRequest, now: number): QuotaGrant | undefined {
     const quota = quotas.get(team)
     if (quota === undefined) return undefined
     const bucket = bucketOf(team, quota, now)
     const reading = read(now)
-    const need = needOf(bucket, now)
+    const need = needOf(bucket, KEPT_RESERVE_SECONDS, now)
     const ownShare = bucket.held - share.borrowed(team, reading)
     const lentShare = roundDown(Math.max(0, Math.min(askedShare, share.lendable(team, reading), ownShare - need.share)), SHARE_STEPS)
     // Tokens above the remaining capacity would be lost here.
@@ -263,19 +291,17 @@
       }
       for (const [team, bucket] of buckets) settle(team, bucket, now)
     },
-    requests: (peerIds, now) => {
-      const weights = peerIds.map(share.baseShare)
-      const total = weights.reduce((sum, weight) => sum + weight, 0)
-      const missing = total > 0 ? shortages(now) : []
-      return weights.map(weight => {
-        const part = Math.min(1, REQUEST_FACTOR * weight / total)
-        const rows: QuotaRequest[] = []
-        for (const [team, missingShare, missingTokens] of missing) {
-          const row = [team, roundDown(missingShare * part, SHARE_STEPS), roundDown(missingTokens * part, TOKEN_STEPS)] as const
-          if (row[1] >= MIN_SHARE || row[2] >= MIN_TOKENS) rows.push(row)
-        }
-        return rows
-      })
+    inquiries: (liveIds, now) => {
+      const missing = shortages(now)
+      if (missing.length === 0) return []
+      const lenders = selectLenders(liveIds.filter(id => id !== self && share.includes(id)))
+      const total = lenders.reduce((sum, id) => sum + share.baseShare(id), 0)
+      return lenders.map(peerId => {
+        const part = Math.min(1, REQUEST_FACTOR * share.baseShare(peerId) / total)
+        const requests = missing.map(([team, missingShare, missingTokens]) =>
+          [team, roundDown(missingShare * part, SHARE_STEPS), roundDown(missingTokens * part, TOKEN_STEPS)] as const)
+        return { peerId, requests: requests.filter(([, askedShare, tokens]) => askedShare >= MIN_SHARE || tokens >= MIN_TOKENS) }
+      }).filter(({ requests }) => requests.length > 0)
     },
     grant: (peerId, requests, now) => {
       if (peerId === self || !share.includes(peerId)) return []
--- a/packages/steering/tests/quota-model.ts
+++ b/packages/steering/tests/quota-model.ts
@@ -2,12 +2,12 @@
  * Model of many instances that divide the quotas of teams: callers in three regions, requests at random times, polls once a
  * second with the delays of the links, and failures of instances and links. Each instance has its own clocks.
  */
-import type { InstanceLink, Team } from '../src/index.js'
+import type { InstanceEntry, InstanceWeight, Team } from '../src/index.js'
 import type { QuotaExchange, QuotaGrant, QuotaLimits, QuotaRequest } from '../src/team-quota.js'
-import { createPeerSelection } from '../src/index.js'
+import { callerWeights } from '../src/index.js'
 import { createQuotaExchange } from '../src/team-quota.js'
 
-export interface ModelInstance extends InstanceLink { readonly region: number }
+export interface ModelInstance { readonly id: string, readonly linkMbps: number, readonly region: number }
 
 /** Demand of a team: requests per second from all callers, and the share of them that comes from a region, by time. */
 export interface ModelTeam {
@@ -48,14 +48,17 @@
   readonly admittedShares: ReadonlyMap<string, number>
   /** Largest number of requests in a window relative to the limit, over all teams. */
   readonly worstWindow: number
-  /** Mean and largest sum of the shares that running instances hold, sampled for each team. */
+  /** Largest sum of the shares that running instances hold, sampled for each team. */
   readonly largestShareSum: number
-  readonly bytesPerPoll: number
-  readonly largestPollBytes: number
+  /** Bytes of the rows in an inquiry and its reply, without HTTP headers. */
+  readonly bytesPerInquiry: number
+  readonly largestInquiryBytes: number
+  /** Inquiries that an instance sends, on average. */
+  readonly inquiriesPerSecond: number
 }
 
 const STEP_MS = 20
-const POLL_MS = 1_000
+const POLL_MS = 500
 const REGION_DELAY_MS = 20
 const LOCAL_DELAY_MS = 1
 /** Time from admission to the run at the upstream, at most. */
@@ -81,7 +84,6 @@
 interface Node {
   readonly instance: ModelInstance
   quota: QuotaExchange
-  selection: ReturnType<typeof createPeerSelection>
   isUp: boolean
   isRegistered: boolean
   /** Time for which the monotonic clock has stood still. */
@@ -105,17 +107,22 @@
   const later = (at: number, run: (now: number) => void): void => { queue.push({ at, run }) }
   let isCut: (a: ModelInstance, b: ModelInstance) => boolean = () => false
   const nodes = new Map<string, Node>()
-  const bytes = { polls: 0, total: 0, largest: 0 }
+  const bytes = { count: 0, total: 0, largest: 0 }
 
   const clockOf = (node: Node, now: number): number => now - node.suspendedMs
   const isRunning = (node: Node, now: number): boolean => node.isUp && now >= node.suspendedUntil
   const registered = (): readonly ModelInstance[] => [...nodes.values()].filter(node => node.isRegistered).map(({ instance }) => instance)
 
+  function weigh (instances: readonly ModelInstance[]): readonly InstanceWeight[] {
+    const entries = instances.map<InstanceEntry>(({ id, region, linkMbps }) => ({ id, region: String(region), zone: '', callerAddress: '', peerAddress: '', linkMbps }))
+    const weights = callerWeights(entries)
+    return entries.map(({ id }, index) => ({ id, weight: weights[index] }))
+  }
+
   function start (instance: ModelInstance, now: number): Node {
     const node: Node = {
       instance,
       quota: createQuotaExchange({ self: instance.id, limits, startedAt: now, readWall: () => wall }),
-      selection: createPeerSelection({ id: instance.id, region: String(instance.region) }),
       isUp: true,
       isRegistered: true,
       suspendedMs: 0,
@@ -129,7 +136,7 @@
   let wall = 0
 
   function announce (now: number): void {
-    const instances = registered()
+    const instances = weigh(registered())
     for (const node of nodes.values()) {
       later(now + random() * MAX_REGISTRY_DELAY_MS, at => node.quota.updateInstances(instances, clockOf(node, at)))
     }
@@ -140,26 +147,21 @@
   }
 
   function poll (node: Node, now: number): void {
-    const candidates = registered().filter(({ id }) => id !== node.instance.id).map(({ id, region }) => {
+    const liveIds = registered().map(({ id }) => id).filter(id => {
       const other = nodes.get(id) as Node
-      const answers = other.isUp && !isCut(node.instance, other.instance)
-      return { id, region: String(region), isLive: answers, isReading: false, hasFailed: !answers }
+      return other.isUp && !isCut(node.instance, other.instance)
     })
-    const peerIds = node.selection.next(candidates)
     const askedAt = { monotonic: clockOf(node, now), wall: now }
-    const rows = node.quota.requests(peerIds, askedAt.monotonic)
     const { quota } = node
-    peerIds.forEach((id, index) => {
-      const peer = nodes.get(id) as Node
-      const asked: readonly QuotaRequest[] = model.withoutTokens === true ? rows[index].map(([team, share]) => [team, share, 0]) : rows[index]
-      if (asked.length === 0) bytes.polls += 1
-      if (asked.length === 0) return
+    for (const { peerId, requests } of quota.inquiries(liveIds, askedAt.monotonic)) {
+      const peer = nodes.get(peerId) as Node
+      const asked: readonly QuotaRequest[] = model.withoutTokens === true ? requests.map(([team, share]) => [team, share, 0]) : requests
       const wait = delay(node.instance, peer.instance)
       later(now + wait, at => {
         if (!isRunning(peer, at) || isCut(node.instance, peer.instance)) return
         const grants: readonly QuotaGrant[] = peer.quota.grant(node.instance.id, asked, clockOf(peer, at))
         const size = encodeURIComponent(JSON.stringify(asked)).length + JSON.stringify(grants).length
-        bytes.polls += 1
+        bytes.count += 1
         bytes.total += size
         bytes.largest = Math.max(bytes.largest, size)
         later(at + wait, function receive (arrival) {
@@ -169,7 +171,7 @@
           else quota.recordGrants(grants, askedAt, clockOf(node, arrival))
         })
       })
-    })
+    }
   }
 
   function apply (action: ModelAction, now: number): void {
@@ -177,8 +179,8 @@
     else if (action.type === 'quota') {
       quotas.set(action.team, action.quota)
       teams = new Map([...teams].map(([name, team]) => [name, name === action.team ? teamOf(name) : team]))
-      const changed = [...teams.values()]
-      for (const node of nodes.values()) later(now + random() * MAX_REGISTRY_DELAY_MS, at => node.quota.updateTeams(changed, clockOf(node, at)))
+      // As instances ignore older versions of the deployment, each one applies what is in force when it hears of a change.
+      for (const node of nodes.values()) later(now + random() * MAX_REGISTRY_DELAY_MS, at => node.quota.updateTeams([...teams.values()], clockOf(node, at)))
     } else if (action.type === 'add') {
       start(model.instances.find(({ id }) => id === action.id) as ModelInstance, now)
       announce(now)
@@ -188,7 +190,7 @@
         node.suspendedUntil = now + action.seconds * 1_000
         later(node.suspendedUntil, () => { node.suspendedMs += action.seconds * 1_000 })
       } else if (action.type === 'restart') {
-        start(node.instance, now).quota.updateInstances(registered(), now)
+        start(node.instance, now).quota.updateInstances(weigh(registered()), now)
         announce(now)
       } else {
         node.isUp = false
@@ -264,7 +266,7 @@
   const startedAt = -60_000
   for (const instance of model.instances) if (!added.has(instance.id)) start(instance, startedAt)
   for (const node of nodes.values()) {
-    node.quota.updateInstances(registered(), startedAt)
+    node.quota.updateInstances(weigh(registered()), startedAt)
     node.pollAt = random() * POLL_MS
   }
   for (const action of model.actions ?? []) later(action.at * 1_000, now => apply(action, now))
@@ -322,5 +324,5 @@
     within += teamWithin
     admitted += teamAdmitted
   }
-  return { admittedShare: within > 0 ? admitted / within : 1, admittedShares, worstWindow, largestShareSum, bytesPerPoll: bytes.total / Math.max(1, bytes.polls), largestPollBytes: bytes.largest }
+  return { admittedShare: within > 0 ? admitted / within : 1, admittedShares, worstWindow, largestShareSum, bytesPerInquiry: bytes.total / Math.max(1, bytes.count), largestInquiryBytes: bytes.largest, inquiriesPerSecond: bytes.count / seconds / model.instances.length }
 }
--- a/packages/steering/tests/team-quota-model.test.ts
+++ b/packages/steering/tests/team-quota-model.test.ts
@@ -32,8 +32,8 @@
 function play (size: readonly [count: number, wide: number], teams: readonly ModelTeam[], actions: readonly ModelAction[] = [], more: { readonly refusedShare?: number, readonly countFrom?: number } = {}): QuotaModelResult {
   const result = playQuotaModel({ instances: modelInstances(size[0], size[1]), teams, limits: LIMITS, seconds: SECONDS, seed: SEED, actions, ...more })
   if (process.env.QUOTA_FIGURES !== undefined) {
-    const { admittedShare, admittedShares, worstWindow, largestShareSum, bytesPerPoll, largestPollBytes } = result
-    console.log(`${expect.getState().currentTestName}: admitted ${admittedShare.toFixed(3)} worst window ${worstWindow.toFixed(3)} shares ${largestShareSum.toFixed(3)} bytes ${bytesPerPoll.toFixed(0)} to ${largestPollBytes}; by team ${[...admittedShares.values()].map(share => share.toFixed(2)).join(' ')}`)
+    const { admittedShare, admittedShares, worstWindow, largestShareSum, bytesPerInquiry, largestInquiryBytes, inquiriesPerSecond } = result
+    console.log(`${expect.getState().currentTestName}: admitted ${admittedShare.toFixed(3)} worst window ${worstWindow.toFixed(3)} shares ${largestShareSum.toFixed(3)} bytes ${bytesPerInquiry.toFixed(0)} to ${largestInquiryBytes} inquiries ${inquiriesPerSecond.toFixed(1)}/s; by team ${[...admittedShares.values()].map(share => share.toFixed(2)).join(' ')}`)
   }
   return result
 }
