Keep room for refilled tokens at lenders of quotas

A lender whose share was just enough for the one token that it keeps lost what was refilled between two inquiries. Narrow links weigh a twentieth instead of a tenth.

--- a/packages/steering/src/instance-directory.ts
+++ b/packages/steering/src/instance-directory.ts
@@ -95,7 +95,7 @@
 }
 
 /** Callers that the directory sends to instances with narrow links, relative to their bandwidth: only those of a failure. */
-const NARROW_LINK_WEIGHT = 0.1
+const NARROW_LINK_WEIGHT = 0.05
 
 /**
  * Callers that each instance can expect from the directory, relative to the others. In each region the bandwidth counts;
--- a/packages/steering/src/team-quota.ts
+++ b/packages/steering/src/team-quota.ts
@@ -105,6 +105,11 @@
 const KEPT_RESERVE_SECONDS = 0.5
 /** An instance asks each of several others for this multiple of their part of its shortage, as not all have a surplus. */
 const REQUEST_FACTOR = 2
+/**
+ * Tokens that a lender can hold beyond its own need after it lent a part of its share. Without this room, what is refilled
+ * between two inquiries is lost.
+ */
+const KEPT_ROOM = 0.5
 /** Limit on the instances that are asked at once. */
 const MAX_LENDERS = 12
 /** Base share relative to the largest below which an instance is asked only if there are too few others. */
@@ -241,7 +246,8 @@
     const reading = read(now)
     const need = needOf(bucket, KEPT_RESERVE_SECONDS, now)
     const ownShare = bucket.held - share.borrowed(team, reading)
-    const lentShare = roundDown(Math.max(0, Math.min(askedShare, share.lendable(team, reading), ownShare - need.share)), SHARE_STEPS)
+    const keptShare = Math.max(need.share, (need.tokens + KEPT_ROOM) / Math.max(1, capacityOf(quota)))
+    const lentShare = roundDown(Math.max(0, Math.min(askedShare, share.lendable(team, reading), ownShare - keptShare)), SHARE_STEPS)
     // Tokens above the remaining capacity would be lost here.
     const overflow = available(bucket, now) - (bucket.held - lentShare) * capacityOf(quota)
     const spareTokens = available(bucket, now) - need.tokens
--- a/packages/steering/tests/instance-directory.test.ts
+++ b/packages/steering/tests/instance-directory.test.ts
@@ -4,7 +4,7 @@
  */
 import type { InstanceEntry } from '../src/index.js'
 import { expect, it } from 'vitest'
-import { createInstanceDirectory } from '../src/index.js'
+import { callerWeights, createInstanceDirectory } from '../src/index.js'
 
 function instance (id: string, zone: string, region: string): InstanceEntry {
   return { id, zone, region, callerAddress: `${id}:1`, peerAddress: `${id}:2`, linkMbps: 1_000 }
@@ -48,3 +48,8 @@
   expect(directory.addresses({ zone: 'a1', region: 'a' }, 1_100)).toEqual(['self:1', 'a1-2:1'])
   expect(directory.addresses({ zone: 'a1', region: 'a' }, 9_000)).toEqual(['self:1'])
 })
+
+it('weighs instances by their links, and little those of a region that it names only in a failure, guarding against quota shares that lie idle', () => {
+  const entries = [...['a', 'a', 'a', 'b', 'b'].map((region, index) => ({ ...instance(`wide-${index}`, `${region}1`, region), linkMbps: index === 2 ? 7 : 140 })), { ...instance('only', 'c1', 'c'), linkMbps: 7 }]
+  expect(callerWeights(entries).map(weight => Math.round(weight * 100) / 100)).toEqual([140, 140, 0.35, 140, 140, 7])
+})
--- a/packages/steering/tests/team-quota-model.test.ts
+++ b/packages/steering/tests/team-quota-model.test.ts
@@ -58,9 +58,10 @@
     ['one region', ({ region }: ModelInstance) => region === 0],
     ['one instance', ({ id }: ModelInstance) => id === 'entry-1'],
     ['two instances', ({ id }: ModelInstance) => id === 'entry-1' || id === 'entry-2']
-  ])('keeps a team at five times its usual rate at %s to the limit', (_name, only) => {
-    const { worstWindow } = play(size, usualTeams(() => 5, { only }))
+  ])('keeps teams at five times their usual rate at %s to the limit and admits their quota', (_name, only) => {
+    const { admittedShare, worstWindow } = play(size, usualTeams(() => 5, { only }))
     expect(worstWindow).toBeLessThanOrEqual(1)
+    expect(admittedShare).toBeGreaterThanOrEqual(MIN_ADMITTED)
   })
 
   it('admits usual demand of callers that move to another region', () => {
