--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 import type { HttpListener } from './http-listener.js'
 import type { StoreReplica, ResourceKind } from './store-replica.js'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
+import { callerWeights, createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
 import { createRateLimitedLog, createMetrics } from '@arbutustray/telemetry'
 import { createAcceptReport } from './accept-report.js'
 import { createConnectionBudget } from './connection-budget.js'
@@ -104,7 +104,8 @@
     self: { id: self.id, zone: self.zone, region: self.region },
     regions: settings.regions,
     retries: settings.retries,
-    cold: settings.cold
+    cold: settings.cold,
+    ...(settings.quota === undefined ? {} : { quota: settings.quota })
   })
   const exchanges = new Map<string, HttpExchange>()
   const stopSchedule = createStopSchedule(settings.graceMs)
@@ -143,7 +144,8 @@
       const listed = new Set(entries.map(({ id }) => id))
       for (const id of directory.ids()) if (!listed.has(id)) directory.remove(id)
       entries.forEach(entry => directory.put(entry))
-      emit({ type: 'instances-counted', ids: directory.ids() })
+      const registered = [self, ...directory.peers()]
+      emit({ type: 'instances-counted', ids: registered.map(({ id }) => id), weights: callerWeights(registered) })
     }
   })
   const hasTeams = (): boolean => steering.deployment()?.teams !== undefined
@@ -199,7 +201,7 @@
 
   const handlerOptions = { dialect, accepts, directory, maxTtlMs: settings.maxTtlMs, metrics }
   const report = (): InstanceReport => ({ accepts: accepts(), isReading: RESOURCE_KINDS.every(kind => !isCopiedFromPeers(kind)) })
-  const peerSync = startPeerSync({ self, seeds: settings.seeds, directory, replica, report, isCopiedFromPeers, readingForMs, demands: steering.limitedDemands, emit, telemetry })
+  const peerSync = startPeerSync({ self, seeds: settings.seeds, directory, replica, report, isCopiedFromPeers, readingForMs, demands: steering.limitedDemands, quota: steering, emit, telemetry })
   const listeners: ReadonlyArray<readonly [keyof GatewaySettings['addresses'], HttpListener]> = [
     ['caller', callerServer.listener],
     ['ready', createHttpListener({}, createReadyHandler(handlerOptions))],
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -15,7 +15,7 @@
 import type { RetryBudgetBound } from './retry-budget.js'
 import type { RouteIndex } from './route-index.js'
 import type { TeamIndex } from './team-index.js'
-import type { TeamQuota } from './team-quota.js'
+import type { QuotaGrant, QuotaInquiry, QuotaLimits, QuotaRequest, TeamQuota } from './team-quota.js'
 import type { Upstream, UpstreamDemand, UpstreamEntry } from './upstream.js'
 import { monotonicNow } from '@arbutustray/core'
 import { createColdRateLimit } from './cold-rate-limit.js'
@@ -29,7 +29,7 @@
 import { createRegionShiftLimit } from './region-shift-limit.js'
 import { createOutlierDetection } from './outlier-detection.js'
 import { createTeamIndex, identifyTeam } from './team-index.js'
-import { createUnlimitedQuota } from './team-quota.js'
+import { createQuotaExchange } from './team-quota.js'
 import { createStatementRecorder } from './upstream-statements.js'
 import { createUpstreamTable } from './upstream-table.js'
 import { createZoneRoundTrips } from './zone-round-trips.js'
@@ -42,7 +42,9 @@
   readonly retries: RetryBudgetBound
   /** A cold upstream gets at most `coldRate * factor + extra` requests per second, with its service's `coldRate`. */
   readonly cold: { readonly factor: number, readonly extra: number }
-  /** Limits the requests of teams; no limit if absent. */
+  /** How the limits on teams are checked; `undefined` in a deployment without teams. */
+  readonly quota?: QuotaLimits
+  /** Replaces the division of quotas among the instances. */
   readonly teamQuota?: TeamQuota
 }
 
@@ -55,6 +57,12 @@
   readonly evacuations: () => readonly string[]
   /** This instance's demand for upstreams that state a limit, for the other instances. */
   readonly limitedDemands: () => readonly UpstreamDemand[]
+  /** What this instance asks live instances for to cover shortages of teams' quotas. */
+  readonly quotaInquiries: (liveIds: readonly string[]) => readonly QuotaInquiry[]
+  /** Grants another instance what this one does not need of teams' quotas. */
+  readonly grantQuota: (peerId: string, requests: readonly QuotaRequest[]) => readonly QuotaGrant[]
+  /** Shares of the quotas for which this instance holds leases, by team. */
+  readonly leasedQuotaShares: () => ReadonlyArray<readonly [team: string, share: number]>
   /** Number of requests without a final answer. */
   readonly pending: () => number
 }
@@ -84,6 +92,7 @@
   const requestLimit = createRequestLimit(self.id, instanceShare, upstreams)
   const statements = createStatementRecorder(upstreams, requestLimit)
   const retryBudget = createRetryBudget(options.retries, instanceShare.count)
+  const teamQuota = createQuotaExchange({ self: self.id, limits: options.quota, startedAt: monotonicNow() })
   let deployment: Deployment | undefined
   let routes: RouteIndex | undefined
   let services = new Map<string, Deployment['services'][number]>()
@@ -115,7 +124,7 @@
     statements,
     retryBudget,
     roundTrips,
-    teamQuota: options.teamQuota ?? createUnlimitedQuota(),
+    teamQuota: options.teamQuota ?? teamQuota,
     findRoute: (host, path) => routes?.find(host, path),
     identify: (apiKey, route) => identifyTeam(teams, apiKey, route),
     hasTopPriority
@@ -162,6 +171,7 @@
       for (const id of upstreams.overdueIds(now)) commands.push(...removeUpstream(id, 'not registered again'))
       for (const upstream of outlierDetection.claimDueProbes(now)) commands.push(createProbe(upstream))
       commands.push(...lifecycle.onTick(now))
+      teamQuota.prune(now)
       return commands
     },
     'request-arrived': (event, now) => lifecycle.onRequestArrived(event, deployment !== undefined, now),
@@ -184,12 +194,13 @@
       roundTrips.record(event.zone, event.roundTripMs)
       return NO_COMMANDS
     },
-    'deployment-received': event => {
+    'deployment-received': (event, now) => {
       if (deployment !== undefined && event.deployment.version <= deployment.version) return NO_COMMANDS
       deployment = event.deployment
       routes = createRouteIndex(deployment)
       services = new Map(deployment.services.map(service => [service.name, service]))
       priorities = topPriorities(deployment)
+      teamQuota.updateTeams(deployment.teams ?? [], now)
       teams = deployment.teams === undefined ? undefined : createTeamIndex(deployment.teams)
       const conflicts = teams?.conflicts ?? []
       return [
@@ -224,13 +235,18 @@
       lifecycle.onStopBegun(event)
       return NO_COMMANDS
     },
-    'instances-counted': event => {
+    'instances-counted': (event, now) => {
       instanceShare.update(event.ids)
+      teamQuota.updateInstances(event.ids.map((id, index) => ({ id, weight: event.weights?.[index] ?? 1 })), now)
       return NO_COMMANDS
     },
     'peer-demands-reported': (event, now) => {
       requestLimit.recordPeerDemands(event.peerId, event.demands, now)
       return NO_COMMANDS
+    },
+    'quota-granted': (event, now) => {
+      teamQuota.recordGrants(event.grants, event.askedAt, now)
+      return NO_COMMANDS
     }
   }
 
@@ -240,6 +256,9 @@
     upstreams: () => upstreams.all(),
     evacuations: () => [...evacuations],
     limitedDemands: () => requestLimit.demands(monotonicNow()),
+    quotaInquiries: liveIds => teamQuota.inquiries(liveIds, monotonicNow()),
+    grantQuota: (peerId, requests) => teamQuota.grant(peerId, requests, monotonicNow()),
+    leasedQuotaShares: () => teamQuota.leasedShares(monotonicNow()),
     pending: lifecycle.pendingCount
   }
 }
