Close a pipelined connection only after its last answer

Each answer decided for itself whether it closed the connection. Node keeps no 'close' event for responses behind the first one either, so requests of a caller that left were kept until their time was up.

A connection now keeps its requests in order, sends each answer in its turn, and decides in one place that it closes. Requests behind its last answer are dropped. Their bytes are read and discarded for a while, since the operating system resets a connection that is closed with unread data and discards what was not delivered.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -39,6 +39,9 @@
   #isLarge = false
   /** Closing the caller's connection resets it. */
   #isAbortive = false
+  #isHeld = false
+  #isPaused = false
+  #hasFailed = false
   #response: ServerResponse | undefined
 
   constructor (readonly options: AnswerOptions) {}
@@ -47,8 +50,14 @@
     return this.options.status
   }
 
+  /** Whether it is being sent to the caller, or will be. */
   get isRelayed (): boolean {
-    return this.#response !== undefined
+    return this.#response !== undefined || this.#isHeld
+  }
+
+  /** Whether it broke off. */
+  get hasFailed (): boolean {
+    return this.#hasFailed
   }
 
   /** Whether it is too large to be buffered, alone or together with the others. */
@@ -81,10 +90,23 @@
    */
   fail (): void {
     // Not `resetAndDestroy`, which ends the connection regularly before it resets it.
+    this.#hasFailed = true
     this.#response?.destroy()
     this.discard()
   }
 
+  /** Keeps an answer that will be relayed later. If it is incomplete, it is not read until then. */
+  hold (): void {
+    this.#isHeld = true
+    if (!this.#isComplete) this.#pause()
+  }
+
+  /** Releases the body of an answer whose caller has left, and stops reading it if it was to be relayed. */
+  abandon (): void {
+    if (this.#isHeld && this.#response === undefined && !this.#isComplete) this.options.onAbandoned()
+    this.discard()
+  }
+
   /** Releases the body of an answer that will not be relayed. */
   discard (): void {
     this.#pieces.take()
@@ -139,14 +161,28 @@
     if (response === undefined) return
     let mayWriteMore = true
     for (const block of this.#pieces.take()) mayWriteMore = response.write(block)
-    if (mayWriteMore) return this.#count(-this.#countedBytes)
-    this.options.pause()
+    if (mayWriteMore) {
+      this.#count(-this.#countedBytes)
+      return this.#resume()
+    }
+    this.#pause()
     response.once('drain', () => {
       this.#count(-this.#countedBytes)
-      this.options.resume()
+      this.#resume()
     })
   }
 
+  #pause (): void {
+    this.#isPaused = true
+    this.options.pause()
+  }
+
+  #resume (): void {
+    if (!this.#isPaused) return
+    this.#isPaused = false
+    this.options.resume()
+  }
+
   #count (bytes: number): void {
     this.#countedBytes += bytes
     this.options.memory.add(bytes)
--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -160,7 +160,10 @@
 
   /** Breaks off an answer that is still being sent when the request's time is up. */
   #limitStream (answer: Answer): void {
-    this.#streamTimer = setTimeout(() => answer.fail(), Math.max(0, this.#expiresAt - performance.now()))
+    this.#streamTimer = setTimeout(() => {
+      answer.fail()
+      this.#abort('time was up during the answer')
+    }, Math.max(0, this.#expiresAt - performance.now()))
   }
 
   #abort (detail: string): void {
@@ -193,7 +196,7 @@
     this.#ended = true
     clearTimeout(this.#streamTimer)
     // Nothing else releases an answer whose caller has left.
-    if (end !== 'finished' || this.options.exchange.response.closed) this.#answer?.discard()
+    if (end !== 'finished' || this.options.exchange.isClosed) this.#answer?.discard()
     this.options.onEnd(end, detail)
   }
 }
--- /dev/null
+++ b/packages/gateway/src/caller-connection.ts
@@ -0,0 +1,162 @@
+/**
+ * The requests of one caller's connection that have no complete answer yet, in their order. Their answers are sent one after
+ * the other, each when the one ahead has been sent completely. This is the only place that decides whether the connection
+ * closes: from then on no further request is taken, and the last answer that is still due carries `connection: close`.
+ *
+ * Requests behind that answer are dropped: they are neither forwarded nor answered, and the caller sends them again.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+/** A request that was read at least up to the end of its header. */
+export interface CallerRequest {
+  readonly connection: CallerConnection
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  /** Time at which the header was read, on the monotonic clock. */
+  readonly receivedAt: number
+  /** `undefined` while the body is incomplete, and without one. */
+  body: Buffer | undefined
+  /** Bytes of the body that were read. */
+  bodyBytes: number
+  /** The body is incomplete. */
+  isReading: boolean
+  /** Time at which the request was added to the intake queue. */
+  queuedAt: number
+  /** The request was passed to the engine. */
+  isHandled: boolean
+  /** The request will not be handled, or its answer will not be sent. */
+  isDropped: boolean
+  /** Writes the answer; `undefined` until there is one. */
+  send: ((extraHeaders: readonly string[]) => void) | undefined
+  /** `send` was called. */
+  isSending: boolean
+  /** Called once: when the answer was sent, the caller has left or the request is dropped. */
+  onClosed: ((request: CallerRequest) => void) | undefined
+}
+
+const CLOSE_HEADERS: readonly string[] = ['connection', 'close']
+const NO_HEADERS: readonly string[] = []
+/**
+ * Time for which a connection is read after its last answer, in milliseconds, if requests behind that answer were dropped.
+ * The operating system resets a connection that is closed with unread data, and discards what it has not delivered yet.
+ */
+const LINGER_MS = 500
+
+function discard (): void {}
+
+export class CallerConnection {
+  /** Oldest first. Only the first can be the one that is being sent. */
+  readonly #open: CallerRequest[] = []
+  readonly #shouldClose: () => boolean
+  #isClosing = false
+  /** The answer that closes the connection is being sent. */
+  #isLastSent = false
+  #isDiscarding = false
+
+  /** `shouldClose`: whether connections are to be closed after their next answer. */
+  constructor (readonly socket: Socket, shouldClose: () => boolean) {
+    this.#shouldClose = shouldClose
+    socket.once('close', () => {
+      for (const request of this.#open.splice(0)) this.#close(request)
+    })
+  }
+
+  /** Takes a request whose header was read. Returns `undefined` if it is behind the answer that closes the connection. */
+  take (request: IncomingMessage, response: ServerResponse, receivedAt: number): CallerRequest | undefined {
+    this.#updateClosing()
+    if (this.#isClosing && (this.#isLastSent || this.#unsentCount() > 0)) {
+      this.#discardInput()
+      return undefined
+    }
+    const taken: CallerRequest = {
+      connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHandled: false, isDropped: false, send: undefined, isSending: false, onClosed: undefined
+    }
+    this.#open.push(taken)
+    response.once('close', () => this.#remove(taken))
+    if (!response.shouldKeepAlive) this.#isClosing = true
+    return taken
+  }
+
+  /** Decides that the connection closes. Requests that were not handled are dropped if they are behind an answer that is due. */
+  close (): void {
+    this.#isClosing = true
+    while (this.#unsentCount() > 1) {
+      const last = this.#open[this.#open.length - 1]
+      if (last.isHandled || last.send !== undefined) return
+      this.#dropLast()
+    }
+  }
+
+  /** Decides that the connection closes after the answer to the request, and drops all requests behind it. */
+  closeAfter (request: CallerRequest): void {
+    this.#isClosing = true
+    while (this.#open.length > 0 && this.#open[this.#open.length - 1] !== request) this.#dropLast()
+  }
+
+  /** Sends the answer in its turn. Returns whether that was at once. */
+  answer (request: CallerRequest, send: (extraHeaders: readonly string[]) => void): boolean {
+    request.send = send
+    this.#sendNext()
+    return request.isSending
+  }
+
+  /** Number of requests whose answer's header was not written. */
+  #unsentCount (): number {
+    return this.#open.length - (this.#open.length > 0 && this.#open[0].isSending ? 1 : 0)
+  }
+
+  #updateClosing (): void {
+    if (!this.#isClosing && this.#shouldClose()) this.close()
+  }
+
+  #sendNext (): void {
+    const first = this.#open.at(0)
+    if (first?.send === undefined || first.isSending) return
+    this.#updateClosing()
+    first.isSending = true
+    this.#isLastSent = this.#isClosing && this.#open.length === 1
+    // Node adds the header itself if the caller asked for the end of the connection.
+    first.send(this.#isLastSent && first.response.shouldKeepAlive ? CLOSE_HEADERS : NO_HEADERS)
+  }
+
+  #remove (request: CallerRequest): void {
+    const index = this.#open.indexOf(request)
+    if (index < 0) return
+    this.#open.splice(index, 1)
+    this.#close(request)
+    if (!this.socket.destroyed) this.#sendNext()
+  }
+
+  #dropLast (): void {
+    const last = this.#open.pop()
+    if (last === undefined) return
+    this.#close(last)
+    this.#discardInput()
+  }
+
+  #close (request: CallerRequest): void {
+    request.isDropped = true
+    const { onClosed } = request
+    request.onClosed = undefined
+    onClosed?.(request)
+  }
+
+  /** Reads the input to its end without parsing it, and keeps doing so for a while after the last answer. */
+  #discardInput (): void {
+    if (this.#isDiscarding) return
+    this.#isDiscarding = true
+    const { socket } = this
+    // The parser may be running right now.
+    process.nextTick(() => {
+      socket.removeAllListeners('data')
+      socket.on('data', discard)
+      socket.resume()
+    })
+    // Node calls it after the answer with `connection: close`.
+    socket.destroySoon = () => {
+      socket.end()
+      setTimeout(() => socket.destroy(), LINGER_MS)
+    }
+  }
+}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,11 +4,15 @@
 import type { CallerLimits, Refusal, Relay, Respond, SteeringEvent } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Answer } from './answer.js'
+import type { CallerRequest } from './caller-connection.js'
 import type { Dialect } from './dialect.js'
 import type { HttpExchange } from './http-exchange.js'
 import type { HttpListener } from './http-listener.js'
 import { firstValue } from '@arbutustray/http'
 import { backlogFor, DEFAULT_RETRY_AFTER_MS, POSSIBLY_RUN, REFUSAL_STATUS, STOPPING_RETRY_AFTER_MS } from '@arbutustray/steering'
+import { CallerConnection } from './caller-connection.js'
 import { createHttpListener } from './http-listener.js'
 import { createIntakeQueue } from './intake-queue.js'
 import { filterRequestHeaders, parseWholeNumber } from './message-headers.js'
@@ -42,15 +46,6 @@
   readonly applyLimits: (limits: CallerLimits) => void
 }
 
-/** A request that was read and is not handled yet. */
-interface QueuedRequest {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly body: Buffer | undefined
-  readonly receivedAt: number
-  readonly queuedAt: number
-}
-
 /** Maximum size of the header that Node parses; the deployment's own limit is checked afterwards. */
 const MAX_PARSED_HEADER_BYTES = 65_536
 /** Maximum total size of the request bodies that are held in memory. */
@@ -78,16 +73,33 @@
   let lastId = 0
   let bufferedBodyBytes = 0
 
-  function reject (response: ServerResponse, status: number, retryAfterMs?: number): void {
+  /** Requests by connection, since Node's server knows only the first of them. */
+  const connections = new WeakMap<Socket, CallerConnection>()
+
+  function connectionOf (socket: Socket): CallerConnection {
+    const existing = connections.get(socket)
+    if (existing !== undefined) return existing
+    const created = new CallerConnection(socket, options.shouldCloseConnections)
+    connections.set(socket, created)
+    return created
+  }
+
+  /** Rejects a request before routing and closes its connection. */
+  function reject (rejected: CallerRequest, status: number, retryAfterMs?: number): void {
     telemetry.metrics.increment('arbutustray_rejected_requests_total', { status: String(status) })
     telemetry.log('request-rejected', { status, reason: 'before routing' })
     const retry = retryAfterMs === undefined ? [] : ['retry-after', String(retryAfterMs / MS_PER_SECOND)]
-    response.writeHead(status, ['content-length', '0', 'connection', 'close', ...retry])
-    response.end()
+    const { connection, response } = rejected
+    connection.closeAfter(rejected)
+    connection.answer(rejected, extraHeaders => {
+      response.writeHead(status, ['content-length', '0', ...extraHeaders, ...retry])
+      response.end()
+    })
   }
 
-  function startExchange (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, receivedAt: number): void {
-    if (response.destroyed) return
+  function startExchange (accepted: CallerRequest): void {
+    const { request, response, body, receivedAt } = accepted
+    accepted.isHandled = true
     lastId += 1
     const id = String(lastId)
     const { headers } = request
@@ -96,6 +108,7 @@
     const exchange: HttpExchange = {
       id,
       callerRequestId: firstValue(headers[headerNames.requestId]) ?? '',
+      callerRequest: accepted,
       request,
       response,
       headers: filterRequestHeaders(request.rawHeaders, headers.connection, headerNames),
@@ -103,10 +116,11 @@
       receivedAt,
       answers: new Map(),
       decisionLog: [],
-      isSettled: false
+      isSettled: false,
+      isClosed: false
     }
     exchanges.set(id, exchange)
-    response.once('close', () => onResponseClose(exchange))
+    accepted.onClosed = () => onExchangeClosed(exchange)
     emit({
       type: 'request-arrived',
       requestId: id,
@@ -118,11 +132,12 @@
     })
   }
 
-  /** Called when the response was sent completely or the caller closed its connection. */
-  function onResponseClose (exchange: HttpExchange): void {
+  /** Called when the response was sent completely, the caller closed its connection or the response can't be sent. */
+  function onExchangeClosed (exchange: HttpExchange): void {
+    exchange.isClosed = true
     exchanges.delete(exchange.id)
-    exchange.answers.forEach(answer => answer.discard())
-    if (exchange.body !== undefined) bufferedBodyBytes -= exchange.body.length
+    exchange.answers.forEach(answer => answer.abandon())
+    releaseBody(exchange.callerRequest)
     if (exchange.isSettled) return
     exchange.isSettled = true
     telemetry.log('request-abandoned', {
@@ -131,69 +146,85 @@
     emit({ type: 'request-cancelled', requestId: exchange.id })
   }
 
-  function readBody (request: IncomingMessage, response: ServerResponse, receivedAt: number): void {
+  function releaseBody (request: CallerRequest): void {
+    bufferedBodyBytes -= request.bodyBytes
+    request.bodyBytes = 0
+    request.body = undefined
+  }
+
+  function readBody (reading: CallerRequest): void {
+    const { request } = reading
     const limit = options.limits()?.bodyBytes ?? Infinity
     const chunks: Buffer[] = []
-    let size = 0
-    const releaseBodyBytes = (): void => { bufferedBodyBytes -= size }
+    reading.isReading = true
     request.on('data', (chunk: Buffer) => {
-      size += chunk.length
+      if (reading.isDropped) return
+      reading.bodyBytes += chunk.length
       bufferedBodyBytes += chunk.length
+      const size = reading.bodyBytes
       if (size <= limit && bufferedBodyBytes <= MAX_BUFFERED_BODY_BYTES) {
         chunks.push(chunk)
         return
       }
-      request.removeAllListeners('data').removeAllListeners('end').off('close', releaseBodyBytes).resume()
-      releaseBodyBytes()
-      if (size > limit) reject(response, 413)
-      else reject(response, 503, MS_PER_SECOND)
+      chunks.length = 0
+      request.removeAllListeners('data').removeAllListeners('end').resume()
+      releaseBody(reading)
+      if (size > limit) reject(reading, 413)
+      else reject(reading, 503, MS_PER_SECOND)
     })
-    request.once('close', releaseBodyBytes)
     request.once('end', () => {
-      request.off('close', releaseBodyBytes)
-      enqueueRequest(request, response, chunks.length === 1 ? chunks[0] : Buffer.concat(chunks), receivedAt)
+      reading.isReading = false
+      reading.body = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
+      enqueueRequest(reading)
     })
   }
 
   function onRequest (request: IncomingMessage, response: ServerResponse): void {
     const receivedAt = performance.now()
     const limits = options.limits()
-    if (options.shouldCloseConnections()) response.setHeader('connection', 'close')
-    if (options.isClosing()) return reject(response, 503, STOPPING_RETRY_AFTER_MS)
-    if (request.url?.startsWith('/') !== true) return reject(response, 400)
+    const accepted = connectionOf(request.socket).take(request, response, receivedAt)
+    if (accepted === undefined) return
+    accepted.onClosed = releaseBody
+    if (options.isClosing()) return reject(accepted, 503, STOPPING_RETRY_AFTER_MS)
+    if (request.url?.startsWith('/') !== true) return reject(accepted, 400)
     if (limits !== undefined && request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0) > limits.headerBytes) {
-      return reject(response, 431)
+      return reject(accepted, 431)
     }
-    if (Number(request.headers['content-length'] ?? 0) > (limits?.bodyBytes ?? Infinity)) return reject(response, 413)
+    if (Number(request.headers['content-length'] ?? 0) > (limits?.bodyBytes ?? Infinity)) return reject(accepted, 413)
     const hasBody = request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0
-    if (hasBody) readBody(request, response, receivedAt)
+    if (hasBody) readBody(accepted)
     else {
       request.resume()
-      enqueueRequest(request, response, undefined, receivedAt)
+      enqueueRequest(accepted)
     }
   }
 
-  const intakeQueue = createIntakeQueue<QueuedRequest>({
-    handle: queued => dequeue(queued, () => startExchange(queued.request, queued.response, queued.body, queued.receivedAt)),
-    refuse: queued => dequeue(queued, () => refuseUnhandled(queued)),
+  const intakeQueue = createIntakeQueue<CallerRequest>({
+    handle: queued => dequeue(queued, startExchange),
+    refuse: queued => dequeue(queued, refuseUnhandled),
     acceptWaitMs: () => listener.maxAcceptWaitMs()
   })
 
-  function enqueueRequest (request: IncomingMessage, response: ServerResponse, body: Buffer | undefined, receivedAt: number): void {
-    intakeQueue.add({ request, response, body, receivedAt, queuedAt: performance.now() })
+  function enqueueRequest (request: CallerRequest): void {
+    if (request.isDropped) return
+    request.queuedAt = performance.now()
+    intakeQueue.add(request)
   }
 
-  /** Calls `answer` for a request that leaves the queue, unless its caller has closed the connection. */
-  function dequeue ({ request, response, body, queuedAt }: QueuedRequest, answer: () => void): void {
-    telemetry.metrics.observe('arbutustray_intake_wait_seconds', {}, (performance.now() - queuedAt) / MS_PER_SECOND)
-    if (request.socket.readableEnded || request.socket.destroyed) response.destroy()
-    if (!response.destroyed) return answer()
-    if (body !== undefined) bufferedBodyBytes -= body.length
+  /** Calls `answer` for a request that leaves the queue, unless it was dropped or its caller has closed the connection. */
+  function dequeue (queued: CallerRequest, answer: (request: CallerRequest) => void): void {
+    telemetry.metrics.observe('arbutustray_intake_wait_seconds', {}, (performance.now() - queued.queuedAt) / MS_PER_SECOND)
+    if (queued.isDropped) return
+    const { socket } = queued.request
+    if (!socket.readableEnded && !socket.destroyed) return answer(queued)
+    releaseBody(queued)
+    socket.destroy()
   }
 
   /** Refuses a request that the instance was too busy to handle. The caller retries on another connection, so this one is closed. */
-  function refuseUnhandled ({ request, response, body, receivedAt }: QueuedRequest): void {
-    if (body !== undefined) bufferedBodyBytes -= body.length
+  function refuseUnhandled (refused: CallerRequest): void {
+    const { connection, request, response, receivedAt } = refused
+    releaseBody(refused)
     const reason = 'intake-timeout'
     const status = REFUSAL_STATUS[reason]
     const requestId = firstValue(request.headers[dialect.headers.requestId]) ?? ''
@@ -202,10 +233,13 @@
     telemetry.log('request-refused', {
       requestId, route: UNKNOWN_ROUTE_LABEL, status, reason, retryAfterMs: DEFAULT_RETRY_AFTER_MS, durationMs, version: options.version(), decisions: `${intakeQueue.size()} more in the intake queue`
     })
-    response.writeHead(status, [
-      'content-length', '0', dialect.headers.requestId, requestId, 'retry-after', (DEFAULT_RETRY_AFTER_MS / MS_PER_SECOND).toFixed(2), 'connection', 'close'
-    ])
-    response.end()
+    connection.close()
+    connection.answer(refused, extraHeaders => {
+      response.writeHead(status, [
+        'content-length', '0', dialect.headers.requestId, requestId, 'retry-after', (DEFAULT_RETRY_AFTER_MS / MS_PER_SECOND).toFixed(2), ...extraHeaders
+      ])
+      response.end()
+    })
   }
 
   /** Counts an answer in the metrics and returns the fields of its log event. */
@@ -216,8 +250,21 @@
     return { route, durationMs: Math.round(durationMs), version: options.version(), decisions: exchange.decisionLog.join('; ') }
   }
 
-  function connectionHeaders (): readonly string[] {
-    return options.shouldCloseConnections() ? ['connection', 'close'] : []
+  function writeEmptyAnswer ({ response, callerRequestId }: HttpExchange, status: number, headers: readonly string[]): void {
+    response.writeHead(status, ['content-length', '0', dialect.headers.requestId, callerRequestId, ...headers])
+    response.end()
+  }
+
+  /** Relays an answer when the answers ahead have been sent. One that breaks off until then is replaced, since nothing of it was sent. */
+  function relayInTurn (exchange: HttpExchange, answer: Answer): void {
+    const { callerRequest, response } = exchange
+    const { connection } = callerRequest
+    if (answer.options.isCloseDelimited) connection.closeAfter(callerRequest)
+    const isSent = connection.answer(callerRequest, extraHeaders => {
+      if (answer.hasFailed) writeEmptyAnswer(exchange, REFUSAL_STATUS['outcome-unknown'], extraHeaders)
+      else answer.relay(response, extraHeaders)
+    })
+    if (!isSent) answer.hold()
   }
 
   const listener = createHttpListener({
@@ -236,7 +283,7 @@
       if (exchange === undefined || answer === undefined || exchange.isSettled) return
       exchange.isSettled = true
       telemetry.log('request-served', { requestId: exchange.callerRequestId, status: answer.status, ...recordAnswer(exchange, route, answer.status, 'upstream') })
-      answer.relay(exchange.response, connectionHeaders())
+      relayInTurn(exchange, answer)
     },
     respond: ({ requestId, route, status, reason, retryAfterMs }) => {
       const exchange = exchanges.get(requestId)
@@ -246,10 +293,7 @@
       if (retryAfterMs !== undefined) telemetry.log('request-refused', { ...fields, retryAfterMs: Math.round(retryAfterMs) })
       else telemetry.log(POSSIBLY_RUN.has(reason) ? 'request-unanswered' : 'request-not-sent', fields)
       const retry = retryAfterMs === undefined ? [] : ['retry-after', (retryAfterMs / MS_PER_SECOND).toFixed(2)]
-      exchange.response.writeHead(status, [
-        'content-length', '0', dialect.headers.requestId, exchange.callerRequestId, ...retry, ...connectionHeaders()
-      ])
-      exchange.response.end()
+      exchange.callerRequest.connection.answer(exchange.callerRequest, extraHeaders => writeEmptyAnswer(exchange, status, [...retry, ...extraHeaders]))
     },
     applyLimits: limits => {
       listener.server.keepAliveTimeout = Math.max(listener.server.keepAliveTimeout, limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS)
--- a/packages/gateway/src/http-exchange.ts
+++ b/packages/gateway/src/http-exchange.ts
@@ -3,6 +3,7 @@
  * to the caller is closed.
  */
 import type { Answer } from './answer.js'
+import type { CallerRequest } from './caller-connection.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
 export interface HttpExchange {
@@ -10,6 +11,8 @@
   readonly id: string
   /** Request id that the caller sent; empty if it sent none. */
   readonly callerRequestId: string
+  /** Place of the request on its connection. */
+  readonly callerRequest: CallerRequest
   readonly request: IncomingMessage
   readonly response: ServerResponse
   /** Headers to forward to the upstream: alternating names and values. */
@@ -22,4 +25,6 @@
   readonly decisionLog: string[]
   /** An answer was chosen, though it may still be being sent, or the caller closed its connection. */
   isSettled: boolean
+  /** The answer was sent, or can't be sent any more. */
+  isClosed: boolean
 }
--- /dev/null
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -0,0 +1,281 @@
+/**
+ * Guards against pipelined requests that are lost, answered in another order or run although their caller sends them again.
+ * The caller here writes raw bytes, several requests at once.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { TestGateway } from '../support.js'
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { afterEach, expect, it } from 'vitest'
+import { listen, startTestGateway, upstreamEntry } from '../support.js'
+
+const closing: Array<() => Promise<unknown>> = []
+
+afterEach(async () => {
+  await Promise.all(closing.splice(0).map(async close => await close()))
+})
+
+const wait = async (ms: number): Promise<void> => await new Promise(resolve => setTimeout(resolve, ms))
+
+/** Waits until the condition holds, for five seconds at most. */
+async function until (condition: () => boolean): Promise<void> {
+  const endsAt = performance.now() + 5_000
+  while (!condition() && performance.now() < endsAt) await wait(5)
+}
+
+type Upstream = (request: IncomingMessage, response: ServerResponse) => void
+
+interface Setup { readonly gateway: TestGateway, readonly runs: string[] }
+
+/** Starts a gateway in front of upstreams that record the ids of the requests that reach them. */
+async function start (upstream: Upstream, { graceMs = 400, descriptorLimit = 4_096, upstreams = 8 } = {}): Promise<Setup> {
+  const runs: string[] = []
+  const { server, address } = await listen((request, response) => {
+    runs.push(idOf(request))
+    request.resume()
+    upstream(request, response)
+  })
+  const entries = Array.from({ length: upstreams }, (_, index) => upstreamEntry(`u${index}`, address))
+  const gateway = await startTestGateway(entries, { graceMs, descriptorLimit })
+  closing.push(gateway.stop, async () => {
+    server.closeAllConnections()
+    server.close()
+  })
+  // The first request needs longer, as code is compiled; the instance refuses requests that it can't handle soon.
+  const first = await open(gateway)
+  first.socket.write(message('first'))
+  await until(() => first.replies().length > 0)
+  first.socket.destroy()
+  runs.length = 0
+  return { gateway, runs }
+}
+
+const idOf = (request: IncomingMessage): string => String(request.headers['x-id'])
+
+function answer (request: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's' }).end(`for ${idOf(request)}`)
+}
+
+/** Answers after the time in the query of the request, in milliseconds. */
+const timed: Upstream = (request, response) => { setTimeout(() => answer(request, response), Number(/ms=(\d+)/.exec(request.url ?? '')?.[1] ?? 0)) }
+
+/** An upstream that answers a request when its id is released. The first request of a test's start is answered at once. */
+function gated (): { readonly upstream: Upstream, readonly release: (...ids: readonly string[]) => void } {
+  const waiting = new Map<string, () => void>()
+  return {
+    upstream: (request, response) => {
+      if (idOf(request) === 'first') answer(request, response)
+      else waiting.set(idOf(request), () => answer(request, response))
+    },
+    release: (...ids) => {
+      for (const id of ids) {
+        const send = waiting.get(id)
+        waiting.delete(id)
+        send?.()
+      }
+    }
+  }
+}
+
+interface Options { readonly ms?: number, readonly path?: string, readonly headers?: string, readonly method?: string, readonly body?: string, readonly deadlineMs?: number }
+
+function message (id: string, { ms = 0, path = '/read/1', headers = '', method = 'GET', body = '', deadlineMs = 1_900 }: Options = {}): string {
+  const length = body === '' ? '' : `content-length: ${body.length}\r\n`
+  return `${method} ${path}?ms=${ms} HTTP/1.1\r\nhost: shop.example\r\nx-id: ${id}\r\nx-object: ${id}\r\nx-deadline: ${deadlineMs}\r\n${length}${headers}\r\n${body}`
+}
+
+const purchase = (id: string, options: Options = {}): string => message(id, { path: '/buy/1', method: 'POST', body: 'x', ...options })
+
+interface Reply { readonly status: number, readonly id: string | undefined, readonly closes: boolean, readonly text: string }
+
+interface Caller { readonly socket: Socket, readonly replies: () => readonly Reply[], readonly hasEnded: () => boolean }
+
+/** Opens a connection and collects the answers that come back on it. */
+async function open (gateway: TestGateway): Promise<Caller> {
+  const [host, port] = gateway.addresses.caller.split(':')
+  const socket = connect(Number(port), host)
+  closing.push(async () => socket.destroy())
+  const chunks: Buffer[] = []
+  let hasEnded = false
+  socket.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+  socket.on('error', () => {})
+  socket.on('close', () => { hasEnded = true })
+  await once(socket, 'connect')
+  return {
+    socket,
+    hasEnded: () => hasEnded,
+    replies: () => Buffer.concat(chunks).toString('latin1').split(/(?=HTTP\/1\.1 \d{3} )/).filter(text => text !== '').map(text => {
+      const [head, ...body] = text.split('\r\n\r\n')
+      return {
+        status: Number(head.slice(9, 12)), id: /^x-id: (\S+)/im.exec(head)?.[1], closes: /^connection: close/im.test(head), text: body.join('\r\n\r\n')
+      }
+    })
+  }
+}
+
+const ids = (from: number, to: number): string[] => Array.from({ length: to - from + 1 }, (_, index) => `r-${from + index}`)
+
+it('handles pipelined requests concurrently and answers them in their order, guarding against serial handling and swapped answers', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(ids(1, 4).map(id => message(id)).join(''))
+  await until(() => runs.length === 4)
+  release(...ids(1, 4).reverse())
+  await until(() => caller.replies().length === 4)
+  expect(caller.replies().map(({ id, text, closes }) => ({ id, text, closes }))).toEqual(ids(1, 4).map(id => ({ id, text: `for ${id}`, closes: false })))
+  caller.socket.write(message('r-5'))
+  await until(() => runs.length === 5)
+  release('r-5')
+  await until(() => caller.replies().length === 5)
+  expect(caller.replies()[4]).toMatchObject({ status: 200, id: 'r-5' })
+})
+
+/** Opens connections until the instance has so few descriptors left that it closes connections after their next answer. */
+async function crowd (gateway: TestGateway): Promise<void> {
+  for (let index = 0; index < 9; index += 1) await open(gateway)
+  await wait(20)
+}
+/** With so many descriptors there is room for 10 connections of callers: 10 are more than nine tenths of them. */
+const FEW_DESCRIPTORS = 217
+
+it('sends `connection: close` only with the last answer that is due, guarding against forwarded requests behind it that get no answer', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream, { descriptorLimit: FEW_DESCRIPTORS })
+  const caller = await open(gateway)
+  caller.socket.write(ids(1, 3).map(id => message(id)).join(''))
+  await until(() => runs.length === 3)
+  await crowd(gateway)
+  release('r-2', 'r-1')
+  await until(() => caller.replies().length === 2)
+  release('r-3')
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ id, status, closes }) => ({ id, status, closes }))).toEqual([
+    { id: 'r-1', status: 200, closes: false }, { id: 'r-2', status: 200, closes: false }, { id: 'r-3', status: 200, closes: true }
+  ])
+})
+
+it('does not forward a request behind the answer that closes the connection, guarding against work that the caller has done again', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream, { descriptorLimit: FEW_DESCRIPTORS })
+  const caller = await open(gateway)
+  caller.socket.write(ids(1, 2).map(id => message(id)).join(''))
+  await until(() => runs.length === 2)
+  await crowd(gateway)
+  caller.socket.write(message('r-3') + purchase('r-4'))
+  await wait(50)
+  release('r-1', 'r-2')
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ id, closes }) => ({ id, closes }))).toEqual([{ id: 'r-1', closes: false }, { id: 'r-2', closes: true }])
+  expect([...runs].sort()).toEqual(['r-1', 'r-2'])
+})
+
+it('does not forward a request behind one that asks for the end of the connection, guarding against work whose answer can\'t be sent', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + message('r-2', { headers: 'connection: close\r\n' }) + message('r-3'))
+  await until(() => runs.length >= 2)
+  await wait(50)
+  release('r-2', 'r-1')
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ id, status, closes }) => ({ id, status, closes }))).toEqual([
+    { id: 'r-1', status: 200, closes: false }, { id: 'r-2', status: 200, closes: true }
+  ])
+  expect([...runs].sort()).toEqual(['r-1', 'r-2'])
+})
+
+it('answers a rejected request in its turn, guarding against a rejection that cuts off the requests ahead', async () => {
+  const { gateway, runs } = await start(timed)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1', { ms: 100 }) + message('r-2', { headers: 'content-length: 2000000\r\n' }))
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ status, closes }) => ({ status, closes }))).toEqual([{ status: 200, closes: false }, { status: 413, closes: true }])
+  expect(runs).toEqual(['r-1'])
+})
+
+it('forgets the requests of a caller that leaves, guarding against ones behind the first that are kept for ever', async () => {
+  const { gateway, runs } = await start(gated().upstream)
+  const caller = await open(gateway)
+  caller.socket.write(ids(1, 6).map(id => message(id)).join(''))
+  await until(() => runs.length === 6)
+  const { steering } = gateway.gateway
+  const leftAt = performance.now()
+  caller.socket.destroy()
+  await until(() => steering.pending() === 0)
+  // Their time is up after 2 s.
+  expect(performance.now() - leftAt).toBeLessThan(1_000)
+})
+
+it('answers all requests that were read before a planned stop, guarding against a stop that cuts off full pipelines', async () => {
+  const { gateway, runs } = await start(timed, { graceMs: 2_000, upstreams: 40 })
+  const callers = await Promise.all(Array.from({ length: 8 }, async () => await open(gateway)))
+  let sent = 0
+  const timer = setInterval(() => {
+    for (const { socket } of callers) {
+      if (!socket.writable) continue
+      sent += 1
+      socket.write(message(`r-${sent}`, { ms: 60 }))
+    }
+  }, 12)
+  await wait(150)
+  await gateway.stop()
+  await wait(100)
+  clearInterval(timer)
+  const replies = callers.flatMap(caller => caller.replies())
+  const answered = new Set(replies.map(({ id }) => id))
+  expect(runs.filter(id => !answered.has(id))).toEqual([])
+  // A busy machine refuses some, which is an answer, too.
+  expect(replies.filter(({ status }) => status !== 200 && status !== 503)).toEqual([])
+  expect(replies.filter(({ status }) => status === 200).length).toBeGreaterThan(20)
+  // Each connection was closed by its last answer, and by no earlier one.
+  expect(callers.map(caller => caller.replies().map(({ closes }) => closes).indexOf(true))).toEqual(callers.map(caller => caller.replies().length - 1))
+}, 20_000)
+
+it('delivers the whole last answer to a caller that sends further requests, guarding against a reset by requests that were not read', async () => {
+  const bytes = 6_000_000
+  const { gateway, runs } = await start((request, response) => {
+    if (idOf(request) === 'first') return answer(request, response)
+    setTimeout(() => response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's', 'content-length': bytes }).end(Buffer.alloc(bytes, 'a')), 400)
+  }, { descriptorLimit: FEW_DESCRIPTORS })
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1'))
+  await until(() => runs.length === 1)
+  await crowd(gateway)
+  caller.socket.pause()
+  const sending = setInterval(() => caller.socket.write(message('late')), 5)
+  await wait(600)
+  caller.socket.resume()
+  await until(caller.hasEnded)
+  clearInterval(sending)
+  expect(runs).toEqual(['r-1'])
+  expect(caller.replies()).toMatchObject([{ status: 200, closes: true }])
+  expect(caller.replies()[0].text).toHaveLength(bytes)
+})
+
+it('answers 502 in its turn if the time of a long answer is up behind another one, guarding against a connection that closes for it', async () => {
+  const { gateway } = await start((request, response) => {
+    if (idOf(request) !== 'r-2') return timed(request, response)
+    response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's' })
+    response.write(Buffer.alloc(400_000, 'a'))
+  })
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1', { ms: 900 }) + message('r-2', { deadlineMs: 550 }) + message('r-3'))
+  await until(() => caller.replies().length === 3)
+  expect(caller.replies().map(({ id, status, text }) => ({ id, status, length: text.length }))).toEqual([
+    { id: 'r-1', status: 200, length: 7 }, { id: 'r-2', status: 502, length: 0 }, { id: 'r-3', status: 200, length: 7 }
+  ])
+})
+
+it('relays long answers that wait behind another one, guarding against ones whose reading is not resumed', async () => {
+  const bytes = 2_000_000
+  const { gateway } = await start((request, response) => {
+    if (idOf(request) === 'r-1' || idOf(request) === 'first') return timed(request, response)
+    response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's' }).end(Buffer.alloc(bytes, 'a'))
+  })
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1', { ms: 300 }) + message('r-2') + message('r-3'))
+  await until(() => caller.replies().length === 3 && caller.replies()[2].text.length >= bytes)
+  expect(caller.replies().map(({ status }) => status)).toEqual([200, 200, 200])
+})
