Answer the requests ahead of malformed input

Node sends its rejection (400, 408, 413 or 431) at once if no answer has begun, and closes the connection. Behind pipelined requests the caller took it for the answer to the first of them, which had been forwarded. The connection now stops taking requests, and the last answer that is due closes it; the rejection is sent only if there is none.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -53,6 +53,8 @@
   /** The answer that closes the connection is being sent. */
   #isLastSent = false
   #isDiscarding = false
+  /** Sent when no other answer is due. */
+  #errorAnswer: string | undefined
 
   /** `shouldClose`: whether connections are to be closed after their next answer. */
   constructor (readonly socket: Socket, shouldClose: () => boolean) {
@@ -101,6 +103,17 @@
     return request.isSending
   }
 
+  /** Handles bytes that are no valid request. They get the error answer unless another answer is due that can close the connection. */
+  rejectInput (errorAnswer: string): void {
+    if (this.#errorAnswer !== undefined) return
+    this.#errorAnswer = errorAnswer
+    const last = this.#open.at(-1)
+    if (last?.isReading === true && last.send === undefined) this.#dropLast()
+    this.close()
+    if (this.#open.length > 0) this.#discardInput()
+    this.#endIfRejected()
+  }
+
   /** Number of requests whose answer's header was not written. */
   #unsentCount (): number {
     return this.#open.length - (this.#open.length > 0 && this.#open[0].isSending ? 1 : 0)
@@ -125,7 +138,9 @@
     if (index < 0) return
     this.#open.splice(index, 1)
     this.#close(request)
-    if (!this.socket.destroyed) this.#sendNext()
+    if (this.socket.destroyed) return
+    this.#sendNext()
+    this.#endIfRejected()
   }
 
   #dropLast (): void {
@@ -142,6 +157,13 @@
     onClosed?.(request)
   }
 
+  #endIfRejected (): void {
+    if (this.#errorAnswer === undefined || this.#isLastSent || this.#open.length > 0) return
+    this.#isLastSent = true
+    if (this.socket.writable) this.socket.write(this.#errorAnswer)
+    this.socket.destroySoon()
+  }
+
   /** Reads the input to its end without parsing it, and keeps doing so for a while after the last answer. */
   #discardInput (): void {
     if (this.#isDiscarding) return
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -10,6 +10,7 @@
 import type { Dialect } from './dialect.js'
 import type { HttpExchange } from './http-exchange.js'
 import type { HttpListener } from './http-listener.js'
+import { STATUS_CODES } from 'node:http'
 import { firstValue } from '@arbutustray/http'
 import { backlogFor, DEFAULT_RETRY_AFTER_MS, POSSIBLY_RUN, REFUSAL_STATUS, STOPPING_RETRY_AFTER_MS } from '@arbutustray/steering'
 import { CallerConnection } from './caller-connection.js'
@@ -55,6 +56,10 @@
 /** Interval at which Node checks connections for an exceeded header timeout. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000
 const MS_PER_SECOND = 1_000
+/** Statuses of input that is no valid request, by the code of Node's error; 400 for all others. */
+const INVALID_INPUT_STATUS: Readonly<Record<string, number | undefined>> = {
+  HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, ERR_HTTP_REQUEST_TIMEOUT: 408
+}
 /** Metrics label of requests that match no route. */
 const UNKNOWN_ROUTE_LABEL = 'unknown'
 
@@ -271,6 +276,17 @@
     maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, keepAliveTimeout: 0
   }, onRequest, backlogFor(options.cores))
 
+  // Node itself would send the rejection in the place of the first answer that is due, and close the connection.
+  listener.server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const status = INVALID_INPUT_STATUS[error.code ?? ''] ?? 400
+    connectionOf(socket).rejectInput(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`)
+  })
+
   listener.server.on('connection', () => telemetry.metrics.observe('arbutustray_accept_wait_seconds', {}, listener.maxAcceptWaitMs() / MS_PER_SECOND))
 
   return {
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -186,6 +186,40 @@
   expect([...runs].sort()).toEqual(['r-1', 'r-2'])
 })
 
+it.each([
+  ['a malformed request', 'nonsense\r\n\r\n'],
+  ['a malformed body', 'POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: bad\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
+])('answers the requests ahead of %s, guarding against an error answer in the place of another one', async (_name, malformed) => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + message('r-2'))
+  await until(() => runs.length === 2)
+  caller.socket.write(malformed)
+  await wait(50)
+  release('r-2', 'r-1')
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ id, status, closes }) => ({ id, status, closes }))).toEqual([
+    { id: 'r-1', status: 200, closes: false }, { id: 'r-2', status: 200, closes: true }
+  ])
+  expect([...runs].sort()).toEqual(['r-1', 'r-2'])
+})
+
+it.each([
+  ['malformed', 'nonsense\r\n\r\n', 400],
+  ['too long', `GET /read/1 HTTP/1.1\r\nx-long: ${'x'.repeat(70_000)}\r\n\r\n`, 431],
+  ['late', 'GET /read/1 HTTP/1.1\r\nx-a: ', 408]
+])('rejects a %s request behind answered ones', async (_name, bytes, status) => {
+  const { gateway } = await start(timed)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + message('r-2'))
+  await until(() => caller.replies().length === 2)
+  caller.socket.write(bytes)
+  await until(caller.hasEnded)
+  expect(caller.replies().map(reply => reply.status)).toEqual([200, 200, status])
+  expect(caller.replies()[2].closes).toBe(true)
+})
+
 it('answers a rejected request in its turn, guarding against a rejection that cuts off the requests ahead', async () => {
   const { gateway, runs } = await start(timed)
   const caller = await open(gateway)
