Hold a pipelined non-idempotent request until its turn

A purchase behind other requests was forwarded at once. If an answer ahead of it then closed the connection, its caller sent it again and it ran twice. It now waits until the answers ahead of it have been sent, and requests behind it wait for its answer. The engine refuses it if its time is up by then.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -23,6 +23,10 @@
   isReading: boolean
   /** Time at which the request was added to the intake queue. */
   queuedAt: number
+  /** The request was read and waits for answers ahead of it. */
+  isHeld: boolean
+  /** Whether the request may run more than once; `undefined` until that matters. */
+  isRepeatable: boolean | undefined
   /** The request was passed to the engine. */
   isHandled: boolean
   /** The request will not be handled, or its answer will not be sent. */
@@ -35,6 +39,15 @@
   onClosed: ((request: CallerRequest) => void) | undefined
 }
 
+export interface CallerConnectionOptions {
+  /** Whether connections are to be closed after their next answer. */
+  readonly shouldClose: () => boolean
+  /** Whether a request may run more than once. */
+  readonly isRepeatable: (request: CallerRequest) => boolean
+  /** Called for a request that was held, when it may be handled. */
+  readonly onReleased: (request: CallerRequest) => void
+}
+
 const CLOSE_HEADERS: readonly string[] = ['connection', 'close']
 const NO_HEADERS: readonly string[] = []
 /**
@@ -48,7 +61,7 @@
 export class CallerConnection {
   /** Oldest first. Only the first can be the one that is being sent. */
   readonly #open: CallerRequest[] = []
-  readonly #shouldClose: () => boolean
+  readonly #options: CallerConnectionOptions
   #isClosing = false
   /** The answer that closes the connection is being sent. */
   #isLastSent = false
@@ -56,9 +69,8 @@
   /** Sent when no other answer is due. */
   #errorAnswer: string | undefined
 
-  /** `shouldClose`: whether connections are to be closed after their next answer. */
-  constructor (readonly socket: Socket, shouldClose: () => boolean) {
-    this.#shouldClose = shouldClose
+  constructor (readonly socket: Socket, options: CallerConnectionOptions) {
+    this.#options = options
     socket.once('close', () => {
       for (const request of this.#open.splice(0)) this.#close(request)
     })
@@ -72,7 +84,7 @@
       return undefined
     }
     const taken: CallerRequest = {
-      connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHandled: false, isDropped: false, send: undefined, isSending: false, onClosed: undefined
+      connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHeld: false, isRepeatable: undefined, isHandled: false, isDropped: false, send: undefined, isSending: false, onClosed: undefined
     }
     this.#open.push(taken)
     response.once('close', () => this.#remove(taken))
@@ -96,6 +108,16 @@
     while (this.#open.length > 0 && this.#open[this.#open.length - 1] !== request) this.#dropLast()
   }
 
+  /**
+   * Whether a request that was read may be handled now; otherwise `onReleased` is called later. One that must not run twice
+   * waits until the answers ahead of it have been sent, since a close ahead of it makes its caller send it again. The
+   * requests behind it wait, too, as its own answer may close the connection.
+   */
+  mayHandle (request: CallerRequest): boolean {
+    request.isHeld = !this.#isFree(request)
+    return !request.isHeld
+  }
+
   /** Sends the answer in its turn. Returns whether that was at once. */
   answer (request: CallerRequest, send: (extraHeaders: readonly string[]) => void): boolean {
     request.send = send
@@ -114,13 +136,30 @@
     this.#endIfRejected()
   }
 
+  #isFree (request: CallerRequest): boolean {
+    if (this.#open[0] === request) return true
+    const { isRepeatable } = this.#options
+    for (const ahead of this.#open) {
+      ahead.isRepeatable ??= isRepeatable(ahead)
+      if (!ahead.isRepeatable) return false
+      if (ahead === request) return true
+    }
+    return true
+  }
+
+  #releaseHeld (): void {
+    for (const request of [...this.#open]) {
+      if (request.isHeld && this.mayHandle(request)) this.#options.onReleased(request)
+    }
+  }
+
   /** Number of requests whose answer's header was not written. */
   #unsentCount (): number {
     return this.#open.length - (this.#open.length > 0 && this.#open[0].isSending ? 1 : 0)
   }
 
   #updateClosing (): void {
-    if (!this.#isClosing && this.#shouldClose()) this.close()
+    if (!this.#isClosing && this.#options.shouldClose()) this.close()
   }
 
   #sendNext (): void {
@@ -140,6 +179,7 @@
     this.#close(request)
     if (this.socket.destroyed) return
     this.#sendNext()
+    this.#releaseHeld()
     this.#endIfRejected()
   }
 
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP server for callers: reads each request completely, passes it to the steering engine and sends exactly one answer.
  */
-import type { CallerLimits, Refusal, Relay, Respond, SteeringEvent } from '@arbutustray/steering'
+import type { CallerLimits, Refusal, Relay, Respond, Route, SteeringEvent } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -12,7 +12,7 @@
 import type { HttpListener } from './http-listener.js'
 import { STATUS_CODES } from 'node:http'
 import { firstValue } from '@arbutustray/http'
-import { backlogFor, DEFAULT_RETRY_AFTER_MS, POSSIBLY_RUN, REFUSAL_STATUS, STOPPING_RETRY_AFTER_MS } from '@arbutustray/steering'
+import { backlogFor, DEFAULT_RETRY_AFTER_MS, IS_IDEMPOTENT, POSSIBLY_RUN, REFUSAL_STATUS, STOPPING_RETRY_AFTER_MS } from '@arbutustray/steering'
 import { CallerConnection } from './caller-connection.js'
 import { createHttpListener } from './http-listener.js'
 import { createIntakeQueue } from './intake-queue.js'
@@ -27,6 +27,7 @@
   readonly cores: number
   /** Limits of the current deployment; `undefined` before the first one. */
   readonly limits: () => CallerLimits | undefined
+  readonly findRoute: (host: string, path: string) => Route | undefined
   /** Version of the current deployment, for the log. */
   readonly version: () => number
   /** Whether answers ask callers to close their connections (`connection: close`): from the phase `leaving` on. */
@@ -39,7 +40,7 @@
   readonly listener: HttpListener
   readonly relay: (command: Relay) => void
   readonly respond: (command: Respond) => void
-  /** Number of requests that were read and not yet answered, including those in the intake queue. */
+  /** Number of requests that were read and not yet answered, without those that wait for answers ahead of them. */
   readonly inFlight: () => number
   /** Number of requests that were read and are not handled yet. */
   readonly queued: () => number
@@ -81,10 +82,19 @@
   /** Requests by connection, since Node's server knows only the first of them. */
   const connections = new WeakMap<Socket, CallerConnection>()
 
+  const connectionOptions = {
+    shouldClose: options.shouldCloseConnections,
+    isRepeatable: ({ request }: CallerRequest): boolean => {
+      const route = options.findRoute(hostOf(request.headers.host), pathOf(request.url ?? '/'))
+      return route === undefined || IS_IDEMPOTENT[route.kind]
+    },
+    onReleased: enqueueRequest
+  }
+
   function connectionOf (socket: Socket): CallerConnection {
     const existing = connections.get(socket)
     if (existing !== undefined) return existing
-    const created = new CallerConnection(socket, options.shouldCloseConnections)
+    const created = new CallerConnection(socket, connectionOptions)
     connections.set(socket, created)
     return created
   }
@@ -211,7 +221,7 @@
   })
 
   function enqueueRequest (request: CallerRequest): void {
-    if (request.isDropped) return
+    if (request.isDropped || !request.connection.mayHandle(request)) return
     request.queuedAt = performance.now()
     intakeQueue.add(request)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,6 +153,7 @@
     telemetry,
     cores: settings.cores,
     limits: () => steering.deployment()?.limits,
+    findRoute: steering.findRoute,
     version: () => steering.deployment()?.version ?? 0,
     shouldCloseConnections: () => connectionBudget.isShort() || (isStopping && phase() !== 'serving'),
     isClosing: () => isStopping && (phase() === 'closing' || phase() === 'ended')
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -186,6 +186,52 @@
   expect([...runs].sort()).toEqual(['r-1', 'r-2'])
 })
 
+it('forwards a non-idempotent request when the answers ahead of it have been sent, and the requests behind it after its own answer', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + message('r-2') + purchase('r-3') + message('r-4'))
+  await until(() => runs.length >= 2)
+  await wait(50)
+  const runsAtFirst = [...runs].sort()
+  release('r-2', 'r-1')
+  await until(() => runs.length >= 3)
+  await wait(50)
+  const runsThen = [...runs]
+  release('r-3')
+  await until(() => runs.length >= 4)
+  release('r-4')
+  await until(() => caller.replies().length === 4)
+  expect({ runsAtFirst, runsThen }).toEqual({ runsAtFirst: ['r-1', 'r-2'], runsThen: [...runs.slice(0, 2), 'r-3'] })
+  expect(caller.replies().map(({ id, status, closes }) => ({ id, status, closes }))).toEqual(ids(1, 4).map(id => ({ id, status: 200, closes: false })))
+})
+
+it('does not forward a non-idempotent request if an answer ahead of it closes the connection, guarding against one that runs again', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream, { descriptorLimit: FEW_DESCRIPTORS })
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + purchase('r-2'))
+  await until(() => runs.length === 1)
+  await crowd(gateway)
+  release('r-1')
+  await until(caller.hasEnded)
+  expect({ runs, replies: caller.replies().map(({ id, closes }) => ({ id, closes })) }).toEqual({ runs: ['r-1'], replies: [{ id: 'r-1', closes: true }] })
+})
+
+it('refuses a non-idempotent request whose time is up before its turn, guarding against one that runs for a caller that has given up', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + purchase('r-2', { deadlineMs: 300 }))
+  await until(() => runs.length === 1)
+  await wait(400)
+  release('r-1')
+  await until(() => caller.replies().length === 2)
+  expect({ runs, replies: caller.replies().map(({ id, status }) => ({ id, status })) }).toEqual({
+    runs: ['r-1'], replies: [{ id: 'r-1', status: 200 }, { id: 'r-2', status: 503 }]
+  })
+})
+
 it.each([
   ['a malformed request', 'nonsense\r\n\r\n'],
   ['a malformed body', 'POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: bad\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -43,6 +43,8 @@
 export interface Steering {
   readonly handle: (event: SteeringEvent) => readonly SteeringCommand[]
   readonly deployment: () => Deployment | undefined
+  /** Route of a request in the current deployment, for a host in lower case without port and a path without query. */
+  readonly findRoute: (host: string, path: string) => Route | undefined
   /** Current upstreams, for status and tests. */
   readonly upstreams: () => Iterable<Upstream>
   /** Zones whose upstreams get no requests. */
@@ -97,7 +99,8 @@
   const placement = createPlacement({
     upstreams, ranking: createRanking(self.region, [...new Set(Object.values(regions))]), coldRateLimit, requestLimit, roundTrips, regionShiftLimit: createRegionShiftLimit(), upstreamLimitsOf, isEvacuated: zone => evacuations.has(zone)
   })
-  const lifecycle = createRequestLifecycle({ upstreams, outlierDetection, placement, coldRateLimit, requestLimit, statements, retryBudget, roundTrips, findRoute: (host, path) => routes?.find(host, path), hasTopPriority })
+  const findRoute = (host: string, path: string): Route | undefined => routes?.find(host, path)
+  const lifecycle = createRequestLifecycle({ upstreams, outlierDetection, placement, coldRateLimit, requestLimit, statements, retryBudget, roundTrips, findRoute, hasTopPriority })
 
   function putUpstream (entry: UpstreamEntry, now: number): readonly SteeringCommand[] {
     const wasDraining = upstreams.get(entry.id)?.entry.state === 'draining'
@@ -210,6 +213,7 @@
   return {
     handle: event => (handlers[event.type] as (event: SteeringEvent, now: number) => readonly SteeringCommand[])(event, monotonicNow()),
     deployment: () => deployment,
+    findRoute,
     upstreams: () => upstreams.all(),
     evacuations: () => [...evacuations],
     limitedDemands: () => requestLimit.demands(monotonicNow()),
