Replace an answer without a length that would cut off others

An answer that ends with its connection can be relayed only by closing the caller's connection. Requests behind it that had been forwarded got no answer. An idempotent request is now sent again, as after a failure; the answer is relayed, and the requests behind it are cancelled, only if no further attempt is allowed. A non-idempotent request has no forwarded requests behind it.

--- a/packages/gateway/src/attempt-handler.ts
+++ b/packages/gateway/src/attempt-handler.ts
@@ -175,8 +175,9 @@
   #emitAnswered (answer: Answer): void {
     if (this.#isAnswerEmitted) return
     this.#isAnswerEmitted = true
-    const { command, emit } = this.options
-    emit({ type: 'attempt-answered', attemptId: command.attemptId, status: answer.status, isPartial: !this.#ended, ...this.#statements })
+    const { command, emit, exchange: { callerRequest } } = this.options
+    const cutsOffOthers = answer.options.isCloseDelimited && callerRequest.connection.hasHandledBehind(callerRequest)
+    emit({ type: 'attempt-answered', attemptId: command.attemptId, status: answer.status, isPartial: !this.#ended, cutsOffOthers, ...this.#statements })
   }
 
   #emitRefused (cause: AttemptRefused['cause'], detail: string = cause): void {
--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -118,6 +118,11 @@
     return !request.isHeld
   }
 
+  /** Whether requests behind the request were passed to the engine. */
+  hasHandledBehind (request: CallerRequest): boolean {
+    return this.#open.findLastIndex(({ isHandled }) => isHandled) > this.#open.indexOf(request)
+  }
+
   /** Sends the answer in its turn. Returns whether that was at once. */
   answer (request: CallerRequest, send: (extraHeaders: readonly string[]) => void): boolean {
     request.send = send
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -232,6 +232,45 @@
   })
 })
 
+/** Answers the first `times` attempts of r-1 without a length, and ends their connections. */
+function withoutLength (times: number, upstream: Upstream): Upstream {
+  let attempts = 0
+  return (request, response) => {
+    if (idOf(request) !== 'r-1') return upstream(request, response)
+    attempts += 1
+    if (attempts > times) return answer(request, response)
+    setTimeout(() => request.socket.end('HTTP/1.1 200 OK\r\nx-id: r-1\r\nx-signature: s\r\nconnection: close\r\n\r\nwithout length'), 100)
+  }
+}
+
+it('sends a request again whose answer has no length if others were forwarded behind it, guarding against a close that cuts them off', async () => {
+  const { gateway, runs } = await start(withoutLength(1, timed))
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + message('r-2') + message('r-3'))
+  await until(() => caller.replies().length === 3)
+  expect(caller.replies().map(({ id, text, closes }) => ({ id, text, closes }))).toEqual(ids(1, 3).map(id => ({ id, text: `for ${id}`, closes: false })))
+  expect(runs.filter(id => id === 'r-1')).toHaveLength(2)
+})
+
+it('relays an answer without a length and drops the requests behind it if the request can\'t be sent again', async () => {
+  const { gateway, runs } = await start(withoutLength(2, timed))
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + message('r-2'))
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ id, text, closes }) => ({ id, text, closes }))).toEqual([{ id: 'r-1', text: 'without length', closes: true }])
+  expect(runs.filter(id => id === 'r-1')).toHaveLength(2)
+  expect(gateway.gateway.steering.pending()).toBe(0)
+})
+
+it('does not forward a request behind an answer without a length, guarding against work that the caller has done again', async () => {
+  const { gateway, runs } = await start(withoutLength(2, timed))
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1') + purchase('r-2'))
+  await until(caller.hasEnded)
+  expect(caller.replies().map(({ id, text, closes }) => ({ id, text, closes }))).toEqual([{ id: 'r-1', text: 'without length', closes: true }])
+  expect(runs).toEqual(['r-1'])
+})
+
 it.each([
   ['a malformed request', 'nonsense\r\n\r\n'],
   ['a malformed body', 'POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: bad\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
--- a/packages/steering/src/event.ts
+++ b/packages/steering/src/event.ts
@@ -50,6 +50,11 @@
   readonly status: number
   /** The answer exceeds the buffer limit and is still being read, so it must be relayed at once or cancelled. */
   readonly isPartial?: boolean
+  /**
+   * The answer can be relayed only by closing the caller's connection, on which requests behind this one were forwarded. They
+   * would get no answer, so it is used only if the request can't be sent again.
+   */
+  readonly cutsOffOthers?: boolean
 }
 
 /** The request was sent but no complete answer came back; whether it ran is unknown. */
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -192,7 +192,7 @@
     return retryOrFail(request, reason, now)
   }
 
-  /** Handles the answer of an upstream that failed to execute an idempotent request. */
+  /** Handles the answer of an upstream that failed to execute an idempotent request, or one that would cut off others. */
   function handleFailedAnswer (request: PendingRequest, { attemptId, isPartial }: AttemptAnswered, now: number): readonly SteeringCommand[] {
     const earlierErrorId = request.errorAttemptId
     request.errorAttemptId = attemptId
@@ -278,7 +278,7 @@
       if (ended === undefined) return []
       const { attempt, upstream, request } = ended
       const notes = upstream === undefined ? [] : statements.record(upstream, event, now)
-      const isFailure = event.status >= MIN_ERROR_STATUS
+      const isFailure = event.status >= MIN_ERROR_STATUS || event.cutsOffOthers === true
       if (upstream !== undefined) {
         outlierDetection.resetFailureScore(upstream)
         if (request !== undefined && !isFailure) {
