Handle at most 16 requests of a connection at a time

A caller could pipeline any number of requests, all of which were forwarded and whose answers were kept until their turn. Beyond 16 the connection is not read; those that one read has brought wait.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -50,6 +50,11 @@
 
 const CLOSE_HEADERS: readonly string[] = ['connection', 'close']
 const NO_HEADERS: readonly string[] = []
+/**
+ * Requests of one connection that are handled at a time. Beyond them the connection is not read, and the requests that one
+ * read brought wait, so that one caller can't take all of the instance's time or memory.
+ */
+export const MAX_OPEN_REQUESTS = 16
 /**
  * Time for which a connection is read after its last answer, in milliseconds, if requests behind that answer were dropped.
  * The operating system resets a connection that is closed with unread data, and discards what it has not delivered yet.
@@ -66,6 +71,7 @@
   /** The answer that closes the connection is being sent. */
   #isLastSent = false
   #isDiscarding = false
+  #isPaused = false
   /** Sent when no other answer is due. */
   #errorAnswer: string | undefined
 
@@ -87,6 +93,7 @@
       connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHeld: false, isRepeatable: undefined, isHandled: false, isDropped: false, send: undefined, isSending: false, onClosed: undefined
     }
     this.#open.push(taken)
+    if (this.#open.length === MAX_OPEN_REQUESTS) this.#pause()
     response.once('close', () => this.#remove(taken))
     if (!response.shouldKeepAlive) this.#isClosing = true
     return taken
@@ -144,16 +151,16 @@
   #isFree (request: CallerRequest): boolean {
     if (this.#open[0] === request) return true
     const { isRepeatable } = this.#options
-    for (const ahead of this.#open) {
+    for (const ahead of this.#open.slice(0, MAX_OPEN_REQUESTS)) {
       ahead.isRepeatable ??= isRepeatable(ahead)
       if (!ahead.isRepeatable) return false
       if (ahead === request) return true
     }
-    return true
+    return false
   }
 
   #releaseHeld (): void {
-    for (const request of [...this.#open]) {
+    for (const request of this.#open.slice(0, MAX_OPEN_REQUESTS)) {
       if (request.isHeld && this.mayHandle(request)) this.#options.onReleased(request)
     }
   }
@@ -185,6 +192,7 @@
     if (this.socket.destroyed) return
     this.#sendNext()
     this.#releaseHeld()
+    if (this.#isPaused && this.#open.length < MAX_OPEN_REQUESTS) this.#resume()
     this.#endIfRejected()
   }
 
@@ -202,6 +210,19 @@
     onClosed?.(request)
   }
 
+  /** Stops reading the connection. What was read already is still parsed, and Node resumes reading after each request until then. */
+  #pause (): void {
+    this.#isPaused = true
+    process.nextTick(() => {
+      if (this.#isPaused) this.socket.pause()
+    })
+  }
+
+  #resume (): void {
+    this.#isPaused = false
+    this.socket.resume()
+  }
+
   #endIfRejected (): void {
     if (this.#errorAnswer === undefined || this.#isLastSent || this.#open.length > 0) return
     this.#isLastSent = true
@@ -214,6 +235,7 @@
     if (this.#isDiscarding) return
     this.#isDiscarding = true
     const { socket } = this
+    this.#isPaused = false
     // The parser may be running right now.
     process.nextTick(() => {
       socket.removeAllListeners('data')
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -271,6 +271,24 @@
   expect(runs).toEqual(['r-1'])
 })
 
+it('handles 16 requests of a connection at a time and reads no more, guarding against one caller that takes all of the memory', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream, { upstreams: 40 })
+  const caller = await open(gateway)
+  caller.socket.write(ids(1, 40).map(id => message(id)).join(''))
+  await until(() => runs.length >= 16)
+  // Without a pause, the instance would read all of this.
+  const filler = Buffer.from(message('more', { headers: `x-filler: ${'x'.repeat(4_000)}\r\n` }).repeat(4_000))
+  caller.socket.write(filler)
+  await wait(200)
+  expect([...new Set(runs)].sort()).toEqual(ids(1, 16).sort())
+  expect(caller.socket.writableLength).toBeGreaterThan(1_000_000)
+  const answering = setInterval(() => release(...runs), 5)
+  await until(() => caller.replies().length > 100)
+  clearInterval(answering)
+  expect(caller.replies().slice(0, 40).map(({ id }) => id)).toEqual(ids(1, 40))
+})
+
 it.each([
   ['a malformed request', 'nonsense\r\n\r\n'],
   ['a malformed body', 'POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: bad\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
