Limit request bodies to an eighth of the process's memory

Bodies could take 64 MiB, a quarter of a process of 250 MB, and pipelined requests hold them while they wait. The settings' memory_mb now lowers the limit.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -25,6 +25,8 @@
   readonly telemetry: Pick<Telemetry, 'log' | 'metrics'>
   /** Processor cores that the process may use, or a part of one. */
   readonly cores: number
+  /** Memory that the process may use, in MiB; `undefined` if it is not stated. */
+  readonly memoryMb: number | undefined
   /** Limits of the current deployment; `undefined` before the first one. */
   readonly limits: () => CallerLimits | undefined
   readonly findRoute: (host: string, path: string) => Route | undefined
@@ -50,8 +52,11 @@
 
 /** Maximum size of the header that Node parses; the deployment's own limit is checked afterwards. */
 const MAX_PARSED_HEADER_BYTES = 65_536
+const BYTES_PER_MIB = 1_048_576
 /** Maximum total size of the request bodies that are held in memory. */
-const MAX_BUFFERED_BODY_BYTES = 64 * 1_048_576
+const MAX_BUFFERED_BODY_BYTES = 64 * BYTES_PER_MIB
+/** Part of the process's memory that request bodies may take; the runtime and answers need the rest. */
+const BODY_MEMORY_SHARE = 1 / 8
 /** Time that an idle connection is kept beyond the idle timeout of callers, so that the caller closes it first. */
 const KEEP_ALIVE_MARGIN_MS = 1_000
 /** Interval at which Node checks connections for an exceeded header timeout. */
@@ -78,6 +83,7 @@
   const { dialect, exchanges, emit, telemetry } = options
   let lastId = 0
   let bufferedBodyBytes = 0
+  const maxBufferedBodyBytes = Math.min(MAX_BUFFERED_BODY_BYTES, (options.memoryMb ?? Infinity) * BYTES_PER_MIB * BODY_MEMORY_SHARE)
 
   /** Requests by connection, since Node's server knows only the first of them. */
   const connections = new WeakMap<Socket, CallerConnection>()
@@ -177,7 +183,7 @@
       reading.bodyBytes += chunk.length
       bufferedBodyBytes += chunk.length
       const size = reading.bodyBytes
-      if (size <= limit && bufferedBodyBytes <= MAX_BUFFERED_BODY_BYTES) {
+      if (size <= limit && bufferedBodyBytes <= maxBufferedBodyBytes) {
         chunks.push(chunk)
         return
       }
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -21,6 +21,8 @@
   readonly linkMbps: number
   /** Processor cores that the process may use, or a part of one. */
   readonly cores: number
+  /** Memory that the process may use, in MiB; `undefined` if it is not stated. */
+  readonly memoryMb?: number | undefined
   /** Files and sockets that the process may have open. */
   readonly descriptorLimit: number
   /** Peer addresses that are polled while no other instance is known. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -152,6 +152,7 @@
     emit,
     telemetry,
     cores: settings.cores,
+    memoryMb: settings.memoryMb,
     limits: () => steering.deployment()?.limits,
     findRoute: steering.findRoute,
     version: () => steering.deployment()?.version ?? 0,
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -29,7 +29,7 @@
 interface Setup { readonly gateway: TestGateway, readonly runs: string[] }
 
 /** Starts a gateway in front of upstreams that record the ids of the requests that reach them. */
-async function start (upstream: Upstream, { graceMs = 400, descriptorLimit = 4_096, upstreams = 8 } = {}): Promise<Setup> {
+async function start (upstream: Upstream, { graceMs = 400, descriptorLimit = 4_096, memoryMb = 512, upstreams = 8 } = {}): Promise<Setup> {
   const runs: string[] = []
   const { server, address } = await listen((request, response) => {
     runs.push(idOf(request))
@@ -37,7 +37,7 @@
     upstream(request, response)
   })
   const entries = Array.from({ length: upstreams }, (_, index) => upstreamEntry(`u${index}`, address))
-  const gateway = await startTestGateway(entries, { graceMs, descriptorLimit })
+  const gateway = await startTestGateway(entries, { graceMs, descriptorLimit, memoryMb })
   closing.push(gateway.stop, async () => {
     server.closeAllConnections()
     server.close()
@@ -289,6 +289,37 @@
   expect(caller.replies().slice(0, 40).map(({ id }) => id)).toEqual(ids(1, 40))
 })
 
+it('holds request bodies of at most an eighth of its memory, guarding against uploads that exhaust it', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream, { memoryMb: 8 })
+  const body = 'x'.repeat(600_000)
+  const first = await open(gateway)
+  first.socket.write(message('r-1') + purchase('r-2', { body }))
+  await until(() => runs.length === 1)
+  await wait(100)
+  // The body of the held request takes more than half of the memory.
+  const second = await open(gateway)
+  second.socket.write(purchase('r-3', { body }))
+  await until(second.hasEnded)
+  expect(second.replies()).toMatchObject([{ status: 503, closes: true }])
+  release('r-1')
+  await until(() => runs.length === 2)
+  release('r-2')
+  await until(() => first.replies().length === 2)
+  // One that leaves during its body releases it.
+  const third = await open(gateway)
+  third.socket.write(purchase('r-4', { body }).slice(0, -1_000))
+  await wait(100)
+  third.socket.destroy()
+  await wait(100)
+  const fourth = await open(gateway)
+  fourth.socket.write(purchase('r-5', { body }))
+  await until(() => runs.length === 3)
+  release('r-5')
+  await until(() => fourth.replies().length === 1)
+  expect(fourth.replies()).toMatchObject([{ status: 200, id: 'r-5' }])
+})
+
 it.each([
   ['a malformed request', 'nonsense\r\n\r\n'],
   ['a malformed body', 'POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: bad\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
--- a/packages/gateway/tests/support.ts
+++ b/packages/gateway/tests/support.ts
@@ -60,7 +60,7 @@
   readonly stop: () => Promise<void>
 }
 
-export async function startTestGateway (upstreams: readonly UpstreamEntry[], { graceMs = 400, descriptorLimit = 4_096 } = {}): Promise<TestGateway> {
+export async function startTestGateway (upstreams: readonly UpstreamEntry[], { graceMs = 400, descriptorLimit = 4_096, memoryMb }: { graceMs?: number, descriptorLimit?: number, memoryMb?: number } = {}): Promise<TestGateway> {
   const host = nextHost()
   const addresses = { caller: `${host}:8161`, ready: `${host}:8162`, directory: `${host}:8163`, peer: `${host}:8164`, metrics: `${host}:8165` }
   const settings: GatewaySettings = {
@@ -71,6 +71,7 @@
     addresses,
     linkMbps: 1_000,
     cores: 1,
+    memoryMb,
     descriptorLimit,
     seeds: [],
     graceMs,
