Close the connections of callers that don't read when memory is full

Answers that wait for a caller that does not read stayed in memory as long as its connection, and those of other callers could only be streamed, so that a broken one could not be replaced. While the memory of answers is full, connections are sampled each second, and those that read less than is held for them are closed, the slowest first.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -60,6 +60,11 @@
     return this.#hasFailed
   }
 
+  /** Bytes of it that are held in memory. */
+  get heldBytes (): number {
+    return this.#countedBytes
+  }
+
   /** Whether it is too large to be buffered, alone or together with the others. */
   get exceedsBuffer (): boolean {
     return this.#pieces.bytes > ANSWER_BUFFER_BYTES || this.options.memory.isFull
--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -35,6 +35,8 @@
   send: ((extraHeaders: readonly string[]) => void) | undefined
   /** `send` was called. */
   isSending: boolean
+  /** Bytes of its answers that are held in memory; `undefined` before there can be any. */
+  heldBytes: (() => number) | undefined
   /** Called once: when the answer was sent, the caller has left or the request is dropped. */
   onClosed: ((request: CallerRequest) => void) | undefined
 }
@@ -90,7 +92,7 @@
       return undefined
     }
     const taken: CallerRequest = {
-      connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHeld: false, isRepeatable: undefined, isHandled: false, isDropped: false, send: undefined, isSending: false, onClosed: undefined
+      connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHeld: false, isRepeatable: undefined, isHandled: false, isDropped: false, send: undefined, isSending: false, heldBytes: undefined, onClosed: undefined
     }
     this.#open.push(taken)
     if (this.#open.length === MAX_OPEN_REQUESTS) this.#pause()
@@ -99,6 +101,13 @@
     return taken
   }
 
+  /** Bytes of the answers that are held for the caller. */
+  heldBytes (): number {
+    let bytes = 0
+    for (const request of this.#open) bytes += request.heldBytes?.() ?? 0
+    return bytes
+  }
+
   /** Decides that the connection closes. Requests that were not handled are dropped if they are behind an answer that is due. */
   close (): void {
     this.#isClosing = true
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Answer } from './answer.js'
+import type { AnswerMemory } from './answer-memory.js'
 import type { CallerRequest } from './caller-connection.js'
 import type { Dialect } from './dialect.js'
 import type { HttpExchange } from './http-exchange.js'
@@ -16,6 +17,7 @@
 import { CallerConnection } from './caller-connection.js'
 import { createHttpListener } from './http-listener.js'
 import { createIntakeQueue } from './intake-queue.js'
+import { createSlowCallers } from './slow-callers.js'
 import { filterRequestHeaders, parseWholeNumber } from './message-headers.js'
 
 export interface CallerServerOptions {
@@ -27,6 +29,7 @@
   readonly cores: number
   /** Memory that the process may use, in MiB; `undefined` if it is not stated. */
   readonly memoryMb: number | undefined
+  readonly answerMemory: AnswerMemory
   /** Limits of the current deployment; `undefined` before the first one. */
   readonly limits: () => CallerLimits | undefined
   readonly findRoute: (host: string, path: string) => Route | undefined
@@ -46,6 +49,8 @@
   readonly inFlight: () => number
   /** Number of requests that were read and are not handled yet. */
   readonly queued: () => number
+  /** Closes connections whose callers don't read, if memory is short; called periodically. */
+  readonly closeSlowCallers: (now: number) => void
   /** Applies the limits of a new deployment. */
   readonly applyLimits: (limits: CallerLimits) => void
 }
@@ -86,7 +91,7 @@
   const maxBufferedBodyBytes = Math.min(MAX_BUFFERED_BODY_BYTES, (options.memoryMb ?? Infinity) * BYTES_PER_MIB * BODY_MEMORY_SHARE)
 
   /** Requests by connection, since Node's server knows only the first of them. */
-  const connections = new WeakMap<Socket, CallerConnection>()
+  const connections = new Map<Socket, CallerConnection>()
 
   const connectionOptions = {
     shouldClose: options.shouldCloseConnections,
@@ -102,6 +107,7 @@
     if (existing !== undefined) return existing
     const created = new CallerConnection(socket, connectionOptions)
     connections.set(socket, created)
+    socket.once('close', () => connections.delete(socket))
     return created
   }
 
@@ -142,6 +148,7 @@
     }
     exchanges.set(id, exchange)
     accepted.onClosed = () => onExchangeClosed(exchange)
+    accepted.heldBytes = () => heldBytesOf(exchange)
     emit({
       type: 'request-arrived',
       requestId: id,
@@ -167,6 +174,12 @@
     emit({ type: 'request-cancelled', requestId: exchange.id })
   }
 
+  function heldBytesOf ({ answers }: HttpExchange): number {
+    let bytes = 0
+    for (const answer of answers.values()) bytes += answer.heldBytes
+    return bytes
+  }
+
   function releaseBody (request: CallerRequest): void {
     bufferedBodyBytes -= request.bodyBytes
     request.bodyBytes = 0
@@ -305,8 +318,18 @@
 
   listener.server.on('connection', () => telemetry.metrics.observe('arbutustray_accept_wait_seconds', {}, listener.maxAcceptWaitMs() / MS_PER_SECOND))
 
+  const closeSlowCallers = createSlowCallers({
+    memory: options.answerMemory,
+    callers: () => connections.values(),
+    onClosed: (heldBytes, readBytes) => {
+      telemetry.metrics.increment('arbutustray_slow_callers_closed_total', {})
+      telemetry.log('slow-caller-closed', { heldBytes, readBytes })
+    }
+  })
+
   return {
     listener,
+    closeSlowCallers,
     inFlight: () => exchanges.size + intakeQueue.size(),
     queued: intakeQueue.size,
     relay: ({ requestId, attemptId, route }) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
 import { createRateLimitedLog, createMetrics } from '@arbutustray/telemetry'
 import { createAcceptReport } from './accept-report.js'
+import { createAnswerMemory } from './answer-memory.js'
 import { createConnectionBudget } from './connection-budget.js'
 import { createCallerServer } from './caller-server.js'
 import { createHttpListener } from './http-listener.js'
@@ -145,7 +146,8 @@
       emit({ type: 'instances-counted', ids: directory.ids() })
     }
   })
-  const upstreamClient = createUpstreamClient({ dialect, exchanges, emit, telemetry })
+  const answerMemory = createAnswerMemory(settings.memoryMb)
+  const upstreamClient = createUpstreamClient({ dialect, exchanges, answerMemory, emit, telemetry })
   const callerServer = createCallerServer({
     dialect,
     exchanges,
@@ -153,6 +155,7 @@
     telemetry,
     cores: settings.cores,
     memoryMb: settings.memoryMb,
+    answerMemory,
     limits: () => steering.deployment()?.limits,
     findRoute: steering.findRoute,
     version: () => steering.deployment()?.version ?? 0,
@@ -224,6 +227,7 @@
     }
     emit({ type: 'tick' })
     connectionBudget.enforce()
+    callerServer.closeSlowCallers(performance.now())
     reportAccepts()
   }, TICK_INTERVAL_MS)
 
--- a/packages/gateway/src/upstream-client.ts
+++ b/packages/gateway/src/upstream-client.ts
@@ -5,12 +5,12 @@
 import type { Cancel, Dispatch, Probe, SteeringEvent } from '@arbutustray/steering'
 import type { Telemetry } from '@arbutustray/telemetry'
 import type { Dispatcher } from 'undici'
+import type { AnswerMemory } from './answer-memory.js'
 import type { Connector } from './connector.js'
 import type { Dialect } from './dialect.js'
 import type { HttpExchange } from './http-exchange.js'
 import { Pool, request } from 'undici'
 import { firstValue } from '@arbutustray/http'
-import { createAnswerMemory } from './answer-memory.js'
 import { AttemptHandler } from './attempt-handler.js'
 import { createConnector } from './connector.js'
 import { parseWholeNumber } from './message-headers.js'
@@ -19,6 +19,7 @@
 export interface UpstreamClientOptions {
   readonly dialect: Dialect
   readonly exchanges: ReadonlyMap<string, HttpExchange>
+  readonly answerMemory: AnswerMemory
   readonly emit: (event: SteeringEvent) => void
   readonly telemetry: Pick<Telemetry, 'metrics'>
 }
@@ -43,8 +44,7 @@
 const PROBE_TIMEOUT_MS = 1_000
 
 export function createUpstreamClient (options: UpstreamClientOptions): UpstreamClient {
-  const { dialect, exchanges, emit, telemetry } = options
-  const answerMemory = createAnswerMemory()
+  const { dialect, exchanges, answerMemory, emit, telemetry } = options
   const attempts = new Map<string, AttemptHandler>()
   const pools = new Map<string, UpstreamPool>()
 
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -7,6 +7,7 @@
 import type { TestGateway } from '../support.js'
 import { once } from 'node:events'
 import { connect } from 'node:net'
+import { request } from 'undici'
 import { afterEach, expect, it } from 'vitest'
 import { listen, startTestGateway, upstreamEntry } from '../support.js'
 
@@ -320,6 +321,27 @@
   expect(fourth.replies()).toMatchObject([{ status: 200, id: 'r-5' }])
 })
 
+it('closes connections whose callers don\'t read when the answers fill the memory, and serves a caller that reads, guarding against memory that only they use', async () => {
+  const bytes = 250_000
+  const { gateway } = await start((request, response) => {
+    response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's' }).end(Buffer.alloc(bytes, 'a'))
+  }, { memoryMb: 8, upstreams: 40 })
+  const idle = await Promise.all(Array.from({ length: 6 }, async () => await open(gateway)))
+  for (const { socket } of idle) socket.pause()
+  // All at once would be refused.
+  for (let round = 0; round < 40; round += 1) {
+    for (const { socket } of idle) socket.write(message('r-1') + message('r-2'))
+    await wait(50)
+  }
+  await wait(2_000)
+  const reading = await open(gateway)
+  reading.socket.write(ids(1, 8).map(id => message(id)).join(''))
+  await until(() => reading.replies().length === 8 && reading.replies()[7].text.length >= bytes)
+  expect(reading.replies().map(({ status }) => status)).toEqual(Array(8).fill(200))
+  const { body } = await request(`http://${gateway.addresses.metrics}/metrics`)
+  expect(Number(/^arbutustray_slow_callers_closed_total (\d+)/m.exec(await body.text())?.[1] ?? 0)).toBeGreaterThan(0)
+})
+
 it.each([
   ['a malformed request', 'nonsense\r\n\r\n'],
   ['a malformed body', 'POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: bad\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n']
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -111,6 +111,12 @@
     message: 'callers hold {open} of at most {max} connections, so idle ones are closed; {dropped} were closed unread shortly before',
     fields: ['open', 'max', 'dropped']
   },
+  'slow-caller-closed': {
+    number: 2007,
+    level: 'warn',
+    message: 'answers fill the memory, so the connection of a caller was closed that read {readBytes} bytes in a second while {heldBytes} bytes were held for it',
+    fields: ['heldBytes', 'readBytes']
+  },
   'request-served': {
     number: 2101,
     level: 'info',
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -68,6 +68,9 @@
   arbutustray_dropped_caller_connections_total: {
     type: 'counter', help: 'Connections of callers that were closed unread because callers held as many as they may.', labels: []
   },
+  arbutustray_slow_callers_closed_total: {
+    type: 'counter', help: 'Connections of callers that were closed because they read too slowly while answers filled the memory.', labels: []
+  },
   arbutustray_open_caller_connections: { type: 'gauge', help: 'Open connections of callers.', labels: [] },
   arbutustray_store_calls_total: {
     type: 'counter',
