--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { callerWeights, createInstanceDirectory, createSteering, createStopSchedule, shouldReadStore } from '@arbutustray/steering'
 import { createRateLimitedLog, createMetrics } from '@arbutustray/telemetry'
 import { createAcceptReport } from './accept-report.js'
+import { createAnswerMemory } from './answer-memory.js'
 import { createConnectionBudget } from './connection-budget.js'
 import { createCallerServer } from './caller-server.js'
 import { createHttpListener } from './http-listener.js'
@@ -149,15 +150,19 @@
     }
   })
   const hasTeams = (): boolean => steering.deployment()?.teams !== undefined
-  const upstreamClient = createUpstreamClient({ dialect, exchanges, emit, telemetry, hasTeams })
+  const answerMemory = createAnswerMemory(settings.memoryMb)
+  const upstreamClient = createUpstreamClient({ dialect, exchanges, answerMemory, emit, telemetry, hasTeams })
   const callerServer = createCallerServer({
     dialect,
     exchanges,
     emit,
     telemetry,
     cores: settings.cores,
+    memoryMb: settings.memoryMb,
+    answerMemory,
     limits: () => steering.deployment()?.limits,
     hasTeams,
+    findRoute: steering.findRoute,
     version: () => steering.deployment()?.version ?? 0,
     shouldCloseConnections: () => connectionBudget.isShort() || (isStopping && phase() !== 'serving'),
     isClosing: () => isStopping && (phase() === 'closing' || phase() === 'ended')
@@ -229,6 +234,7 @@
     }
     emit({ type: 'tick' })
     connectionBudget.enforce()
+    callerServer.closeSlowCallers(performance.now())
     reportAccepts()
   }, TICK_INTERVAL_MS)
 
--- a/packages/gateway/tests/real/teams.test.ts
+++ b/packages/gateway/tests/real/teams.test.ts
@@ -10,6 +10,7 @@
 import { createMetrics } from '@arbutustray/telemetry'
 import { request } from 'undici'
 import { afterEach, expect, it } from 'vitest'
+import { createAnswerMemory } from '../../src/answer-memory.js'
 import { createCallerServer } from '../../src/caller-server.js'
 import { DEPLOYMENT, DIALECT, listen, startTestGateway, upstreamEntry } from '../support.js'
 
@@ -185,8 +186,11 @@
     },
     telemetry: { log: (id, fields) => { logged.push({ id, ...fields }) }, metrics: createMetrics({ measureEventLoopDelay: false }) },
     cores: 1,
+    memoryMb: undefined,
+    answerMemory: createAnswerMemory(),
     limits: () => undefined,
     hasTeams: () => true,
+    findRoute: () => undefined,
     version: () => 7,
     shouldCloseConnections: () => false,
     isClosing: () => false
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -51,6 +51,8 @@
 export interface Steering {
   readonly handle: (event: SteeringEvent) => readonly SteeringCommand[]
   readonly deployment: () => Deployment | undefined
+  /** Route of a request in the current deployment, for a host in lower case without port and a path without query. */
+  readonly findRoute: (host: string, path: string) => Route | undefined
   /** Current upstreams, for status and tests. */
   readonly upstreams: () => Iterable<Upstream>
   /** Zones whose upstreams get no requests. */
@@ -115,6 +117,7 @@
   const placement = createPlacement({
     upstreams, ranking: createRanking(self.region, [...new Set(Object.values(regions))]), coldRateLimit, requestLimit, roundTrips, regionShiftLimit: createRegionShiftLimit(), upstreamLimitsOf, isEvacuated: zone => evacuations.has(zone)
   })
+  const findRoute = (host: string, path: string): Route | undefined => routes?.find(host, path)
   const lifecycle = createRequestLifecycle({
     upstreams,
     outlierDetection,
@@ -125,7 +128,7 @@
     retryBudget,
     roundTrips,
     teamQuota: options.teamQuota ?? teamQuota,
-    findRoute: (host, path) => routes?.find(host, path),
+    findRoute,
     identify: (apiKey, route) => identifyTeam(teams, apiKey, route),
     hasTopPriority
   })
@@ -253,6 +256,7 @@
   return {
     handle: event => (handlers[event.type] as (event: SteeringEvent, now: number) => readonly SteeringCommand[])(event, monotonicNow()),
     deployment: () => deployment,
+    findRoute,
     upstreams: () => upstreams.all(),
     evacuations: () => [...evacuations],
     limitedDemands: () => requestLimit.demands(monotonicNow()),
