Ask callers to retry soon after a refusal by an idle upstream

An upstream that refuses while it reports free slots is failing, not full. A pause of 300 ms does not make the retry more likely to be accepted, but its answer comes after the objective.

--- a/packages/steering/src/admission.ts
+++ b/packages/steering/src/admission.ts
@@ -6,6 +6,7 @@
  * of lower priority are refused first.
  */
 import type { StopLimits } from './stop-schedule.js'
+import type { LoadReport } from './upstream.js'
 
 export interface Admission {
   readonly admitted: boolean
@@ -43,6 +44,11 @@
 export const MAX_RETRY_AFTER_MS = 2_000
 /** Retry time for a refusal by an instance that stops; short because another instance serves the retry. */
 export const STOPPING_RETRY_AFTER_MS = 50
+/**
+ * Retry time after the refusal of an upstream that has free slots, in milliseconds. Waiting does not raise the chance that the
+ * retry is accepted, but makes its answer late.
+ */
+export const IDLE_REFUSAL_RETRY_AFTER_MS = 50
 /** Retry time for a refusal without an estimate of when a slot becomes free, in milliseconds. */
 export const DEFAULT_RETRY_AFTER_MS = 300
 
@@ -53,6 +59,14 @@
   return { admitted: excessMs <= 0, retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, excessMs)) }
 }
 
+/**
+ * Whether an upstream that refused a request reports free slots: it is failing, not full. Load pattern: upstreams of which
+ * each refuses a part of the requests for some seconds, at usual demand.
+ */
+export function isIdleRefusal (load: LoadReport | undefined): boolean {
+  return load !== undefined && load.running + load.waiting < load.slots
+}
+
 /**
  * Whether a stopping instance may take a request. Late in the stop the request's own time must be up before the process
  * ends, because its upstream may take all of it.
--- a/packages/steering/src/pending-request.ts
+++ b/packages/steering/src/pending-request.ts
@@ -36,6 +36,8 @@
   dispatches: number
   /** Id of an attempt that was answered with an error status; its answer is relayed if no later attempt succeeds. */
   errorAttemptId: string | undefined
+  /** The newest refusal came from an upstream with free slots. */
+  wasRefusedByIdle: boolean
   /** The request was once slow enough to be hedged. It is not considered again, even if no hedge was sent. */
   hedgeConsidered: boolean
 }
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -22,7 +22,7 @@
 import type { StatementRecorder } from './upstream-statements.js'
 import type { UpstreamTable } from './upstream-table.js'
 import type { ZoneRoundTrips } from './zone-round-trips.js'
-import { admit, canEndBeforeStop, DEFAULT_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS, STOPPING_RETRY_AFTER_MS } from './admission.js'
+import { admit, canEndBeforeStop, DEFAULT_RETRY_AFTER_MS, IDLE_REFUSAL_RETRY_AFTER_MS, isIdleRefusal, MAX_RETRY_AFTER_MS, STOPPING_RETRY_AFTER_MS } from './admission.js'
 import { IS_IDEMPOTENT } from './deployment.js'
 import { createExpectedDuration } from './expected-duration.js'
 import { recordMeasuredSlowdown } from './load-estimate.js'
@@ -190,7 +190,7 @@
 
   /** Retries a request that has no open attempt if the limits allow it, else gives it its final answer. */
   function retryOrFail (request: PendingRequest, reason: Refusal, now: number): readonly SteeringCommand[] {
-    const retryAfterMs = request.possibleRuns === 0 ? retryAfterMsFor(request.service, now) : undefined
+    const retryAfterMs = request.possibleRuns > 0 ? undefined : request.wasRefusedByIdle ? IDLE_REFUSAL_RETRY_AFTER_MS : retryAfterMsFor(request.service, now)
     const remainingMs = request.expiresAt - now
     if (request.dispatches >= MAX_DISPATCHES || request.possibleRuns >= request.route.attempts || remainingMs < MIN_ATTEMPT_MS) {
       return finishWithFailure(request, reason, now, retryAfterMs)
@@ -234,6 +234,7 @@
       possibleRuns: 0,
       dispatches: 0,
       errorAttemptId: undefined,
+      wasRefusedByIdle: false,
       hedgeConsidered: false
     }
   }
@@ -299,6 +300,7 @@
         }
       }
       if (request === undefined || request.attempts.size > 0) return commands
+      request.wasRefusedByIdle = event.cause === 'shed' && isIdleRefusal(event.load)
       const reason = request.possibleRuns > 0 ? 'outcome-unknown' : REFUSAL_AFTER[event.cause]
       return [...commands, ...(event.cause === 'unsendable' ? finishWithFailure(request, reason, now) : retryOrFail(request, reason, now))]
     },
--- a/packages/steering/tests/refusal.test.ts
+++ b/packages/steering/tests/refusal.test.ts
@@ -55,3 +55,14 @@
   if (second === undefined) throw new Error('not dispatched again')
   expect(reasonOf(steering.handle({ type: 'attempt-refused', attemptId: second.attemptId, cause: 'unsendable' }))).toBe('outcome-unknown')
 })
+
+it.each([
+  { running: 2, waiting: 0, retryAfterMs: 50 },
+  { running: 9, waiting: 4, retryAfterMs: 300 }
+])('asks for a retry after $retryAfterMs ms if the upstream that refused runs $running and keeps $waiting waiting, guarding against answers that a needless pause makes late', ({ running, waiting, retryAfterMs }) => {
+  const steering = startSteering([upstreamEntry('u')])
+  const [dispatch] = steering.handle(arrival('r', '/read/1'))
+  if (dispatch?.type !== 'dispatch') throw new Error('not dispatched')
+  const commands = steering.handle({ type: 'attempt-refused', attemptId: dispatch.attemptId, cause: 'shed', load: { running, waiting, slots: 9, slowdown: 1 } })
+  expect(commands).toContainEqual(expect.objectContaining({ type: 'respond', status: 503, retryAfterMs }))
+})
