Keep answers that are due on pipelined connections

A review of the pipelining showed five ways in which a due answer was cut off or memory grew without bound, each with a test that failed before: idle connections were closed by Node's rule, which counts a connection as idle while answers are unsent; the last answer was reset by requests sent after the close was decided; an upload that was rejected reset the answer ahead of it; reading was not paused again after an incomplete body; CONNECT destroyed the connection. Tokens that came with a 65th lease were lost.

--- a/packages/gateway/src/caller-connection.ts
+++ b/packages/gateway/src/caller-connection.ts
@@ -74,6 +74,9 @@
   /** The answer that closes the connection is being sent. */
   #isLastSent = false
   #isDiscarding = false
+  #isLingering = false
+  /** Bytes that had been read when the last answer had been sent. */
+  #bytesReadAtRest = -1
   #isPaused = false
   /** Sent when no other answer is due. */
   #errorAnswer: string | undefined
@@ -96,12 +99,17 @@
       connection: this, request, response, receivedAt, body: undefined, bodyBytes: 0, isReading: false, queuedAt: 0, isHeld: false, isRepeatable: undefined, isHandled: false, isDropped: false, send: undefined, isSending: false, heldBytes: undefined, onClosed: undefined
     }
     this.#open.push(taken)
-    if (this.#open.length === MAX_OPEN_REQUESTS) this.#pause()
+    if (this.#open.length >= MAX_OPEN_REQUESTS) this.#pause()
     response.once('close', () => this.#remove(taken))
     if (!response.shouldKeepAlive) this.#isClosing = true
     return taken
   }
 
+  /** Whether nothing is due on the connection: no request was begun since the last answer, which the operating system has taken. */
+  get isIdle (): boolean {
+    return this.#open.length === 0 && !this.#isLastSent && this.socket.writableLength === 0 && this.socket.bytesRead === this.#bytesReadAtRest
+  }
+
   /** Bytes of the answers that are held for the caller. */
   heldBytes (): number {
     let bytes = 0
@@ -123,6 +131,7 @@
   closeAfter (request: CallerRequest): void {
     this.#isClosing = true
     while (this.#open.length > 0 && this.#open[this.#open.length - 1] !== request) this.#dropLast()
+    if (!request.request.complete) this.#discardInput()
   }
 
   /**
@@ -158,6 +167,12 @@
     this.#endIfRejected()
   }
 
+  /** Passes the connection's `drain` on to the answer that is being sent, if Node no longer does. */
+  continueSending (): void {
+    const first = this.#open.at(0)
+    if (first?.isSending === true) first.response.emit('drain')
+  }
+
   #isFree (request: CallerRequest): boolean {
     if (this.#open[0] === request) return true
     const { isRepeatable } = this.#options
@@ -190,6 +205,7 @@
     this.#updateClosing()
     first.isSending = true
     this.#isLastSent = this.#isClosing && this.#open.length === 1
+    if (this.#isLastSent && first.response.shouldKeepAlive) this.#lingerAtEnd()
     // Node adds the header itself if the caller asked for the end of the connection.
     first.send(this.#isLastSent && first.response.shouldKeepAlive ? CLOSE_HEADERS : NO_HEADERS)
   }
@@ -200,6 +216,7 @@
     this.#open.splice(index, 1)
     this.#close(request)
     if (this.socket.destroyed) return
+    if (this.#open.length === 0) this.#bytesReadAtRest = this.socket.bytesRead
     this.#sendNext()
     this.#releaseHeld()
     if (this.#isPaused && this.#open.length < MAX_OPEN_REQUESTS) this.#resume()
@@ -220,10 +237,14 @@
     onClosed?.(request)
   }
 
-  /** Stops reading the connection. What was read already is still parsed, and Node resumes reading after each request until then. */
+  /**
+   * Stops reading the connection. What was read already is still parsed. Node resumes reading after each request, and one
+   * tick after the start of a body that is incomplete, so the pause begins after both.
+   */
   #pause (): void {
+    if (this.#isPaused && this.socket.isPaused()) return
     this.#isPaused = true
-    process.nextTick(() => {
+    setImmediate(() => {
       if (this.#isPaused) this.socket.pause()
     })
   }
@@ -252,6 +273,14 @@
       socket.on('data', discard)
       socket.resume()
     })
+    this.#lingerAtEnd()
+  }
+
+  /** Keeps reading for a while after the last answer, as the caller may send requests until it has received it. */
+  #lingerAtEnd (): void {
+    if (this.#isLingering) return
+    this.#isLingering = true
+    const { socket } = this
     // Node calls it after the answer with `connection: close`.
     socket.destroySoon = () => {
       socket.end()
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -331,6 +331,19 @@
     connectionOf(socket).rejectInput(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`)
   })
 
+  // Node counts a connection as idle from the call of `end` on, also while its answer is unsent and others are due behind it.
+  listener.server.closeIdleConnections = () => {
+    for (const { isIdle, socket } of connections.values()) if (isIdle) socket.destroy()
+  }
+
+  // Without a listener, Node destroys the connection, together with the answers that are due. It has removed its own listeners.
+  listener.server.on('connect', (_request, stream) => {
+    const connection = connectionOf(stream as Socket)
+    stream.on('error', () => stream.destroy())
+    stream.on('drain', () => connection.continueSending())
+    connection.rejectInput(`HTTP/1.1 405 ${STATUS_CODES[405] ?? ''}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  })
+
   listener.server.on('connection', () => telemetry.metrics.observe('arbutustray_accept_wait_seconds', {}, listener.maxAcceptWaitMs() / MS_PER_SECOND))
 
   const closeSlowCallers = createSlowCallers({
--- a/packages/gateway/tests/real/pipelining.test.ts
+++ b/packages/gateway/tests/real/pipelining.test.ts
@@ -469,3 +469,138 @@
   await until(() => caller.replies().length === 3 && caller.replies()[2].text.length >= bytes)
   expect(caller.replies().map(({ status }) => status)).toEqual([200, 200, 200])
 })
+
+/** An upstream that answers with a body of the given size. */
+const big = (size: number): Upstream => (request, response) => {
+  if (idOf(request) === 'first') return answer(request, response)
+  response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's' }).end('y'.repeat(size))
+}
+/** Connects a caller whose reading can be paused with little buffered. */
+function openPausable (gateway: TestGateway): { readonly socket: Socket, readonly text: () => string, readonly ended: () => boolean } {
+  const [host, port] = gateway.addresses.caller.split(':')
+  const socket = connect(Number(port), host)
+  closing.push(async () => socket.destroy())
+  const chunks: Buffer[] = []
+  let ended = false
+  socket.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+  socket.on('error', () => {})
+  socket.on('close', () => { ended = true })
+  return { socket, text: () => Buffer.concat(chunks).toString('latin1'), ended: () => ended }
+}
+
+it('pauses reading at 16 requests also if incomplete bodies follow, guarding against one connection that queues requests without bound', async () => {
+  const { upstream } = gated()
+  const { gateway } = await start(upstream, { upstreams: 40 })
+  const caller = await open(gateway)
+  for (const id of ids(1, 15)) {
+    caller.socket.write(message(id))
+    await wait(5)
+  }
+  const post = message('more', { method: 'POST', body: 'z'.repeat(500), headers: `x-filler: ${'x'.repeat(4_000)}\r\n` })
+  const half = post.length - 250
+  caller.socket.write(post.slice(0, half))
+  await wait(20)
+  for (let index = 0; index < 60; index += 1) {
+    // The end of a body, 80 requests, and the begin of the next one.
+    caller.socket.write(post.slice(half) + post.repeat(80) + post.slice(0, half))
+    await wait(5)
+  }
+  await wait(100)
+  expect(caller.replies()).toEqual([])
+  expect(caller.socket.writableLength).toBeGreaterThan(5_000_000)
+}, 20_000)
+
+it('delivers a long answer ahead of a rejected upload, guarding against a reset by the body that was not read', async () => {
+  const { gateway } = await start(big(900_000))
+  const caller = openPausable(gateway)
+  await once(caller.socket, 'connect')
+  caller.socket.pause()
+  caller.socket.write(message('r-1'))
+  await wait(100)
+  caller.socket.write('POST /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: r-2\r\ncontent-length: 50000000\r\n\r\n' + 'z'.repeat(300_000))
+  await wait(300)
+  caller.socket.resume()
+  await until(caller.ended)
+  expect(caller.text().length).toBeGreaterThan(900_000)
+})
+
+it('delivers a long last answer to a caller that sends its next request before it has read it, guarding against a reset after the last answer', async () => {
+  const { upstream, release } = gated()
+  const { gateway } = await start((request, response) => {
+    if (idOf(request) === 'first') return answer(request, response)
+    upstream(request, { writeHead: () => ({ end: () => response.writeHead(200, { 'x-id': idOf(request), 'x-signature': 's' }).end('y'.repeat(900_000)) }) } as never)
+  }, { descriptorLimit: 217 })
+  const caller = openPausable(gateway)
+  await once(caller.socket, 'connect')
+  caller.socket.pause()
+  caller.socket.write(message('r-1'))
+  await wait(50)
+  for (let index = 0; index < 9; index += 1) await open(gateway)
+  await wait(20)
+  release('r-1')
+  await wait(200)
+  caller.socket.write(message('r-2'))
+  await wait(100)
+  caller.socket.resume()
+  await until(caller.ended)
+  expect(caller.text().length).toBeGreaterThan(900_000)
+})
+
+it('answers a forwarded request although a CONNECT follows, guarding against a connection that is destroyed with an answer due', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1'))
+  await until(() => runs.length === 1)
+  caller.socket.write('CONNECT a.example:443 HTTP/1.1\r\nhost: a.example:443\r\n\r\n')
+  await wait(50)
+  release('r-1')
+  await wait(200)
+  expect(caller.replies()[0]).toMatchObject({ status: 200, id: 'r-1' })
+})
+
+it('answers what it has forwarded while connections are short, guarding against the close of a connection that Node counts as idle', async () => {
+  const { gateway, runs } = await start(big(15_000), { descriptorLimit: 217 })
+  const caller = openPausable(gateway)
+  await once(caller.socket, 'connect')
+  caller.socket.pause()
+  for (let index = 0; index < 100; index += 1) {
+    caller.socket.write(ids(index * 8 + 1, index * 8 + 8).map(id => message(id)).join(''))
+    await wait(15)
+  }
+  await wait(200)
+  for (let index = 0; index < 9; index += 1) await open(gateway)
+  await wait(200)
+  caller.socket.resume()
+  await wait(1_500)
+  const complete = (caller.text().match(/y{15000}/g) ?? []).length
+  expect(complete).toBeGreaterThanOrEqual(new Set(runs).size)
+})
+
+it('survives a caller that resets its connection after a CONNECT, guarding against an uncaught error that ends the process', async () => {
+  const { upstream, release } = gated()
+  const { gateway, runs } = await start(upstream)
+  const caller = await open(gateway)
+  caller.socket.write(message('r-1'))
+  await until(() => runs.length === 1)
+  caller.socket.write('CONNECT a.example:443 HTTP/1.1\r\nhost: a.example:443\r\n\r\n')
+  await wait(50)
+  caller.socket.resetAndDestroy()
+  await wait(100)
+  release('r-1')
+  await wait(100)
+})
+
+it('relays a long answer that is being sent when a CONNECT follows, guarding against an answer that stalls', async () => {
+  const { gateway } = await start(big(6_000_000))
+  const caller = openPausable(gateway)
+  await once(caller.socket, 'connect')
+  caller.socket.pause()
+  caller.socket.write(message('r-1'))
+  await wait(200)
+  caller.socket.write('CONNECT a.example:443 HTTP/1.1\r\nhost: a.example:443\r\n\r\n')
+  await wait(50)
+  caller.socket.resume()
+  await wait(1_500)
+  expect(caller.text().length).toBeGreaterThan(6_000_000)
+})
--- a/packages/steering/src/quota-share.ts
+++ b/packages/steering/src/quota-share.ts
@@ -25,8 +25,8 @@
   /** Largest part of its base share that this instance may lend now. */
   readonly lendable: (team: string, now: ClockReading) => number
   readonly lend: (team: string, share: number, now: ClockReading) => void
-  /** Records a part that another instance lent in reply to a request sent at `askedAt`; returns whether it is still valid. */
-  readonly borrow: (team: string, share: number, askedAt: ClockReading, now: ClockReading) => boolean
+  /** Records a part that another instance lent in reply to a request sent at `askedAt`; tells whether it has expired or can't be recorded. */
+  readonly borrow: (team: string, share: number, askedAt: ClockReading, now: ClockReading) => 'recorded' | 'not-recorded' | 'expired'
   readonly borrowed: (team: string, now: ClockReading) => number
   readonly hasLeases: (team: string, now: ClockReading) => boolean
 }
@@ -118,9 +118,10 @@
     borrow: (team, share, askedAt, now) => {
       const lease = { share, end: { monotonic: askedAt.monotonic + LEASE_MS, wall: askedAt.wall + LEASE_MS } }
       const leases = mutable(team, now)
-      if (!isBorrowedAt(lease, now) || leases.borrowed.length >= MAX_LEASES) return false
+      if (!isBorrowedAt(lease, now)) return 'expired'
+      if (share > 0 && leases.borrowed.length >= MAX_LEASES) return 'not-recorded'
       if (share > 0) leases.borrowed = [...leases.borrowed, lease]
-      return true
+      return 'recorded'
     },
     borrowed: (team, now) => sumShares(current(team, now).borrowed),
     hasLeases: (team, now) => {
--- a/packages/steering/src/team-quota.ts
+++ b/packages/steering/src/team-quota.ts
@@ -319,8 +319,9 @@
         const quota = quotas.get(team)
         if (quota === undefined) continue
         const bucket = bucketOf(team, quota, now)
-        if (!share.borrow(team, lentShare, askedAt, read(now))) continue
-        if (lentShare > 0) leases += 1
+        const borrowed = share.borrow(team, lentShare, askedAt, read(now))
+        if (borrowed === 'expired') continue
+        if (borrowed === 'recorded' && lentShare > 0) leases += 1
         addTokens(bucket, tokens)
         settle(team, bucket, now)
       }
--- a/packages/steering/tests/team-quota.test.ts
+++ b/packages/steering/tests/team-quota.test.ts
@@ -152,3 +152,16 @@
     }
   }))
 })
+
+it('keeps the tokens of a grant whose lease can\'t be recorded, guarding against tokens that are lost for good', () => {
+  const now = 60_000
+  const team = { name: 'team', apiKeys: [], priority: 0, quota: { ratePerSecond: 1_000, burst: 1_000 }, homeRegions: [] }
+  const quota = createQuotaExchange({ self: 'a', limits: { windowMs: 5_000, overshoot: 0.1, slack: 20 }, startedAt: 0, readWall: () => now })
+  quota.updateTeams([team], 0)
+  quota.updateInstances([{ id: 'a', weight: 1 }, { id: 'b', weight: 9 }], 0)
+  while (quota.tryAcquire(team, now).admitted);
+  const at = { monotonic: now, wall: now }
+  for (let count = 0; count < 64; count += 1) quota.recordGrants([['team', 0.001, 0]], at, now)
+  quota.recordGrants([['team', 0.001, 5]], at, now)
+  expect(quota.tryAcquire(team, now).admitted).toBe(true)
+})
