Divide very popular objects over several upstreams

The first upstream of an object's ranking got all its requests until a queue had formed there, so a very popular object overloaded it. An object whose demand is at least the mean load of an upstream is now divided over the first upstreams of its ranking in its region, by today's cost. A route without affinity now compares four random upstreams of the region.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -189,6 +189,7 @@
       const exchange = exchanges.get(command.requestId)
       exchange?.decisionLog.push(`to ${formatBasis(command.basis)}`)
       if (exchange !== undefined) exchange.team = command.team
+      metrics.increment('arbutustray_placements_total', { route: command.route, kind: command.basis.kind, region: command.basis.isElsewhere ? 'other' : 'first' })
       upstreamClient.dispatch(command)
     },
     cancel: upstreamClient.cancel,
--- a/packages/steering/src/command.ts
+++ b/packages/steering/src/command.ts
@@ -16,13 +16,24 @@
   readonly slowdown: number
   /** Expected time until the answer, in milliseconds: round trip, work and wait for a slot. */
   readonly expectedMs: number
+  readonly kind: PlacementKind
+  /** The upstream is in another region than the first candidate. */
+  readonly isElsewhere: boolean
 }
 
+/**
+ * `ranked`: by the ranking of the request's object, or among all upstreams without one. `divided`: one of several upstreams
+ * of a popular object. `spread`: the route has no affinity.
+ */
+export type PlacementKind = 'ranked' | 'divided' | 'spread'
+
 /** Sends a request to an upstream. */
 export interface Dispatch {
   readonly type: 'dispatch'
   readonly requestId: string
   readonly attemptId: string
+  /** Name of the request's route. */
+  readonly route: string
   readonly upstreamId: string
   readonly zone: string
   readonly address: string
--- a/packages/steering/src/request-lifecycle.ts
+++ b/packages/steering/src/request-lifecycle.ts
@@ -88,8 +88,8 @@
 /** Causes that show that the upstream answers. */
 const ANSWERED_CAUSES: ReadonlySet<AttemptRefused['cause']> = new Set(['shed', 'misdirected'])
 
-function basisOf ({ upstream, rank, load, loadAgeMs, slowdown, expectedMs }: Candidate): PlacementBasis {
-  return { upstreamId: upstream.id, rank, load, loadAgeMs, slowdown, expectedMs }
+function basisOf ({ upstream, rank, load, loadAgeMs, slowdown, expectedMs, kind, isElsewhere }: Candidate): PlacementBasis {
+  return { upstreamId: upstream.id, rank, load, loadAgeMs, slowdown, expectedMs, kind, isElsewhere }
 }
 
 export function createRequestLifecycle (dependencies: RequestLifecycleDependencies): RequestLifecycle {
@@ -165,6 +165,7 @@
       type: 'dispatch',
       requestId: request.id,
       attemptId: attempt.id,
+      route: request.route.name,
       upstreamId: upstream.id,
       zone: upstream.entry.zone,
       address: upstream.entry.address,
@@ -177,7 +178,7 @@
 
   function chooseUpstream (request: PendingRequest, now: number): Candidate | undefined {
     const { service, objectKey, homeRegions, route, tried } = request
-    return placement.choose({ service, objectKey, homeRegions, tried, expectedWorkMs: expectedDuration.estimateMs(route) }, now)
+    return placement.choose({ service, objectKey, hasAffinity: route.hasAffinity, homeRegions, tried, expectedWorkMs: expectedDuration.estimateMs(route) }, now)
   }
 
   /** Time until the first upstream of a service takes requests again, if some asked for a pause. */
--- a/packages/steering/src/steering.ts
+++ b/packages/steering/src/steering.ts
@@ -11,6 +11,7 @@
 import type { SteeringCommand } from './command.js'
 import type { Deployment, Route, Team } from './deployment.js'
 import type { SteeringEvent } from './event.js'
+import type { ObjectCopies } from './object-copies.js'
 import type { UpstreamLimits } from './placement.js'
 import type { RetryBudgetBound } from './retry-budget.js'
 import type { RouteIndex } from './route-index.js'
@@ -20,6 +21,8 @@
 import { monotonicNow } from '@arbutustray/core'
 import { createColdRateLimit } from './cold-rate-limit.js'
 import { createInstanceShare } from './instance-share.js'
+import { createObjectCopies } from './object-copies.js'
+import { createObjectPopularity } from './object-popularity.js'
 import { createPlacement } from './placement.js'
 import { createRanking } from './ranking.js'
 import { createRequestLifecycle } from './request-lifecycle.js'
@@ -46,6 +49,8 @@
   readonly quota?: QuotaLimits
   /** Replaces the division of quotas among the instances. */
   readonly teamQuota?: TeamQuota
+  /** Replaces the rule for the number of upstreams that a popular object is divided over. */
+  readonly objectCopies?: ObjectCopies
 }
 
 export interface Steering {
@@ -115,7 +120,7 @@
     (teams === undefined || (team?.priority ?? teams.lowestPriority) <= teams.topPriority) &&
     route.parts.every(({ service }) => route.priority <= (priorities.get(service) ?? Infinity))
   const placement = createPlacement({
-    upstreams, ranking: createRanking(self.region, [...new Set(Object.values(regions))]), coldRateLimit, requestLimit, roundTrips, regionShiftLimit: createRegionShiftLimit(), upstreamLimitsOf, isEvacuated: zone => evacuations.has(zone)
+    upstreams, popularity: createObjectPopularity(), copies: options.objectCopies ?? createObjectCopies(), ranking: createRanking(self.region, [...new Set(Object.values(regions))]), coldRateLimit, requestLimit, roundTrips, regionShiftLimit: createRegionShiftLimit(), upstreamLimitsOf, isEvacuated: zone => evacuations.has(zone)
   })
   const findRoute = (host: string, path: string): Route | undefined => routes?.find(host, path)
   const lifecycle = createRequestLifecycle({
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -58,6 +58,11 @@
     labels: ['route'],
     buckets: LATENCY_BUCKETS_SECONDS
   },
+  arbutustray_placements_total: {
+    type: 'counter',
+    help: 'Attempts by route, kind of placement (`ranked`: by the ranking of the object, or any upstream without one, `divided`: one of several upstreams of a popular object, `spread`: the route has no affinity) and region (`first`: that of the preferred upstream, `other`).',
+    labels: ['route', 'kind', 'region']
+  },
   arbutustray_accept_wait_seconds: {
     type: 'histogram',
     help: 'Longest time that a connection of a caller can have waited to be accepted, at the time of each accepted one, in seconds.',
