--- a/packages/steering/src/object-popularity.ts
+++ b/packages/steering/src/object-popularity.ts
@@ -24,7 +24,7 @@
 interface ServiceCounts { readonly total: Count, readonly objects: Map<string, Count> }
 
 function valueAt ({ value, updatedAt }: Count, now: number): number {
-  return value * Math.exp((updatedAt - now) / AVERAGE_MS)
+  return updatedAt === now ? value : value * Math.exp((updatedAt - now) / AVERAGE_MS)
 }
 
 function add (count: Count, now: number): void {
--- a/packages/steering/src/placement.ts
+++ b/packages/steering/src/placement.ts
@@ -14,7 +14,7 @@
 import type { PlacementKind } from './command.js'
 import type { ObjectCopies } from './object-copies.js'
 import type { ObjectPopularity } from './object-popularity.js'
-import type { Ranking } from './ranking.js'
+import type { Ranking, RankingQuery } from './ranking.js'
 import type { RequestLimit } from './request-limit.js'
 import type { MovePreference, RegionShiftLimit } from './region-shift-limit.js'
 import type { Upstream } from './upstream.js'
@@ -96,6 +96,8 @@
 interface Selection { readonly candidates: readonly Upstream[], readonly passedOver: Upstream | undefined }
 /** Upstreams of one region over which an object is divided, and the first usable one of another region. */
 interface Division { readonly near: readonly Upstream[], readonly elsewhere: Upstream | undefined, readonly passedOver: Upstream | undefined }
+/** The shortlist of an object, and the query for its whole ranking. */
+interface RankedUpstreams { readonly rankingQuery: RankingQuery, readonly shortlist: readonly Upstream[] }
 interface RegionCount { readonly usable: number, readonly countedAt: number }
 
 /** Cost of a wait relative to its length: a request that joins a queue also delays later requests. */
@@ -114,7 +116,7 @@
 
 export function createPlacement (dependencies: PlacementDependencies): Placement {
   const { upstreams, ranking, popularity, copies, coldRateLimit, requestLimit, roundTrips, regionShiftLimit } = dependencies
-  const usableCounts = new Map<string, RegionCount>()
+  const usableCounts = new Map<string, Map<string, RegionCount>>()
   let spreadCount = 0
   let divisionCount = 0
 
@@ -147,17 +149,14 @@
    * the second one of the same region. For a request without an object, all usable upstreams. A suspect upstream is
    * returned only if there is no other.
    */
-  function findCandidates (query: PlacementQuery, now: number): Selection {
-    const { service, objectKey, homeRegions } = query
-    const rows = upstreams.ofService(service)
-    if (objectKey === undefined) return selectCandidates(rows, query, now)
-    const rankingQuery = { service, objectKey, homeRegions, upstreams: rows, version: upstreams.version() }
-    const shortlist = ranking.shortlist(rankingQuery)
+  function findCandidates (query: PlacementQuery, ranked: RankedUpstreams | undefined, now: number): Selection {
+    if (ranked === undefined) return selectCandidates(upstreams.ofService(query.service), query, now)
+    const { rankingQuery, shortlist } = ranked
     const found = selectCandidates(shortlist, query, now)
     // The rest of the first region is preferred to other regions, and a suspect upstream is the last resort.
     const [first] = found.candidates
     const isSufficient = first !== undefined && first.region === shortlist[0].region && first.suspectSince === undefined
-    return isSufficient || shortlist.length === rows.length ? found : selectCandidates(ranking.rank(rankingQuery), query, now)
+    return isSufficient || shortlist.length === rankingQuery.upstreams.length ? found : selectCandidates(ranking.rank(rankingQuery), query, now)
   }
 
   /** The candidates among `ranked`, which is in the order of preference if the request has an object. */
@@ -184,14 +183,15 @@
 
   /** Number of upstreams of a region that can take requests now. */
   function countUsable (service: string, region: string, now: number): number {
-    const key = `${service}\n${region}`
-    const known = usableCounts.get(key)
+    let counts = usableCounts.get(service)
+    if (counts === undefined) usableCounts.set(service, counts = new Map())
+    const known = counts.get(region)
     if (known !== undefined && now - known.countedAt < COUNT_REUSE_MS) return known.usable
     let usable = 0
     for (const { entry, isLeaving, pausedUntil, suspectSince, region: itsRegion } of upstreams.ofService(service)) {
       if (itsRegion === region && entry.state === 'ready' && !isLeaving && pausedUntil <= now && suspectSince === undefined && !dependencies.isEvacuated(entry.zone)) usable += 1
     }
-    usableCounts.set(key, { usable, countedAt: now })
+    counts.set(region, { usable, countedAt: now })
     return usable
   }
 
@@ -221,11 +221,9 @@
   }
 
   /** The division of a popular object, or of a request without affinity; `undefined` if the request is placed by rank. */
-  function findDivision (query: PlacementQuery, objectKey: string, now: number): Division | undefined {
-    const { service, hasAffinity, homeRegions } = query
-    const rows = upstreams.ofService(service)
-    const rankingQuery = { service, objectKey, homeRegions, upstreams: rows, version: upstreams.version() }
-    const shortlist = ranking.shortlist(rankingQuery)
+  function findDivision (query: PlacementQuery, { rankingQuery, shortlist }: RankedUpstreams, now: number): Division | undefined {
+    const { service, hasAffinity } = query
+    const { objectKey } = rankingQuery
     if (shortlist.length === 0) return undefined
     if (!hasAffinity) return divide(shortlist, query, COMPARED_WITHOUT_AFFINITY, now)
     const usable = countUsable(service, shortlist[0].region, now)
@@ -244,6 +242,11 @@
     return regionShiftLimit.shouldMove(query.service, movePreference(best, other), now) ? { ...other, kind, isElsewhere: true } : { ...best, kind }
   }
 
+  function rank ({ service, homeRegions }: PlacementQuery, objectKey: string): RankedUpstreams {
+    const rankingQuery = { service, objectKey, homeRegions, upstreams: upstreams.ofService(service), version: upstreams.version() }
+    return { rankingQuery, shortlist: ranking.shortlist(rankingQuery) }
+  }
+
   /** Key that selects the candidates: the object or, without affinity, the next of the spread keys. */
   function candidateKey ({ objectKey, hasAffinity }: PlacementQuery): string | undefined {
     if (hasAffinity || objectKey === undefined) return objectKey
@@ -252,8 +255,8 @@
   }
 
   /** The choice by the object's ranking, or among all upstreams for a request without an object. */
-  function chooseRanked (query: PlacementQuery, now: number): Candidate | undefined {
-    const selection = findCandidates(query, now)
+  function chooseRanked (query: PlacementQuery, ranked: RankedUpstreams | undefined, now: number): Candidate | undefined {
+    const selection = findCandidates(query, ranked, now)
     // Without an object, no upstream is preferred before the candidates are compared.
     if (selection.passedOver !== undefined && query.objectKey !== undefined) requestLimit.recordPassedOver(selection.passedOver, now)
     const candidates = selection.candidates.map((upstream, rank) => evaluate(upstream, rank, query, now))
@@ -270,8 +273,9 @@
       // Further attempts of a request are not demand of its caller.
       if (tried.size === 0) popularity.record(service, hasAffinity ? objectKey : undefined, now)
       const key = candidateKey(query)
-      const division = key === undefined ? undefined : findDivision(query, key, now)
-      return division === undefined ? chooseRanked({ ...query, objectKey: key }, now) : chooseDivided(query, division, now)
+      const ranked = key === undefined ? undefined : rank(query, key)
+      const division = ranked === undefined ? undefined : findDivision(query, ranked, now)
+      return division === undefined ? chooseRanked(query, ranked, now) : chooseDivided(query, division, now)
     }
   }
 }
