--- a/packages/steering/src/team-quota.ts
+++ b/packages/steering/src/team-quota.ts
@@ -90,6 +90,12 @@
  */
 const USED_SLACK = 0.9
 const USED_OVERSHOOT = 0.3
+/**
+ * Parts of the slack and of the overshoot that a process has as tokens when it starts. Without them, a restart of all instances
+ * leaves small teams, whose tokens are refilled at less than one in a window, refused for seconds.
+ */
+const RESTART_SLACK = 0.7
+const RESTART_OVERSHOOT = 0.5
 const DEFAULT_LIMITS: QuotaLimits = { windowMs: 5_000, overshoot: 0, slack: 0 }
 /** Time over which demand is averaged, in milliseconds. */
 const DEMAND_AVERAGE_MS = 3_000
@@ -155,12 +161,18 @@
     return burst + USED_SLACK * limits.slack + USED_OVERSHOOT * limits.overshoot * perWindow
   }
 
+  /** Tokens of all instances together after a restart, beside those that are refilled. */
+  function restartTokensOf ({ burst, ratePerSecond }: Quota): number {
+    const perWindow = ratePerSecond * limits.windowMs / MS_PER_SECOND + burst
+    return RESTART_SLACK * limits.slack + RESTART_OVERSHOOT * limits.overshoot * perWindow
+  }
+
   function createBucket (quota: Quota, now: number): Bucket {
     const base = share.baseShare(self)
     const isSettled = now >= settledFrom
     const initial = now < lowBaseShareUntil ? Math.min(base, lowBaseShare) : base
     const held = isSettled ? base : base * (1 - MAX_LENT_RATIO)
-    return { quota, tokens: initial * capacityOf(quota), earlyTokens: 0, settledAt: isSettled ? now : startedAt, held, demand: 0, demandAt: now }
+    return { quota, tokens: initial * capacityOf(quota), earlyTokens: base * restartTokensOf(quota), settledAt: isSettled ? now : startedAt, held, demand: 0, demandAt: now }
   }
 
   /** Refills the bucket up to `now` and applies the current share and quota. */
