Ask less often for parts of quotas while nothing is granted

While a team sends several times its quota everywhere, no instance can lend, but each asked twelve others twice a second.

--- a/packages/gateway/src/peer-sync.ts
+++ b/packages/gateway/src/peer-sync.ts
@@ -11,6 +11,7 @@
 import { Agent } from 'undici'
 import { createConnector } from './connector.js'
 import { fetchJson } from './fetch-json.js'
+import { createInquiryBackoff } from './inquiry-backoff.js'
 import { formatQuotaRows, parseQuotaRows, readQuotaRows } from './quota-rows.js'
 import { parseTarget } from './request-target.js'
 import { encodeSighting, parseSighting, readSightings } from './sighting.js'
@@ -87,6 +88,7 @@
   const connector = createConnector(() => {})
   const agent = new Agent({ connect: connector.open as never, keepAliveTimeout: KEEP_ALIVE_MS })
   const selection = createPeerSelection(self)
+  const backoff = createInquiryBackoff()
   /** Ids of peers, and addresses of seeds, whose last poll failed; each is logged once until it replies. */
   const failedPollTargets = new Set<string>()
   const fetchingKinds = new Set<ResourceKind>()
@@ -174,6 +176,7 @@
     const askedAt = { monotonic: performance.now(), wall: Date.now() }
     const { grants } = await get<QuotaReply>(address, `${QUOTA_PATH}?sender=${encodeSender()}&rows=${formatQuotaRows(requests)}`)
     recordGrants(peerId, grants, askedAt)
+    if (Array.isArray(grants) && grants.length > 0) backoff.recordGrant()
   }
 
   /** Asks live instances for parts of the quotas of teams with a shortage; without one, nothing is sent. */
@@ -181,7 +184,8 @@
     const liveIds = directory.peerCandidates(performance.now()).filter(({ isLive, hasFailed }) => isLive && !hasFailed).map(({ id }) => id)
     const inquiries = options.quota.quotaInquiries(liveIds)
     const addresses = inquiries.length === 0 ? new Map<string, string>() : new Map(directory.peers().map(({ id, peerAddress }) => [id, peerAddress]))
-    for (const inquiry of inquiries) {
+    const asked = backoff.shouldAsk(inquiries.length > 0) ? inquiries : []
+    for (const inquiry of asked) {
       const address = addresses.get(inquiry.peerId)
       // An instance that does not answer grants nothing; the polls log it.
       if (address !== undefined) askForQuota(address, inquiry).catch(() => {})
