--- a/review/standins-2/scene.js
+++ b/review/standins-2/scene.js
@@ -38,6 +38,7 @@
   backends = []
   #lines = []
   #ids = new Map()
+  #events = []
   #startedAt = performance.now()
   #folder = mkdtempSync(join(tmpdir(), 'review-'))
   #nextHost = createHosts()
@@ -57,7 +58,13 @@
     return this.#ids.get(what) ?? []
   }
 
+  /** Events of a kind for which `matches` returns true, with their times. */
+  timesOf (what, matches) {
+    return this.#events.filter(event => event.what === what && matches(event))
+  }
+
   record = (what, fields = {}) => {
+    this.#events.push({ ...fields, what, at: this.now() })
     if (fields.id !== undefined) {
       if (!this.#ids.has(what)) this.#ids.set(what, [])
       this.#ids.get(what).push(fields.id)
