--- a/review/standins-2/backend.js
+++ b/review/standins-2/backend.js
@@ -25,11 +25,13 @@
   #beat
   #state = 'ready'
   #born = Date.now()
+  /** Number of starts; what an earlier life had begun is not continued. */
+  #life = 0
   isDown = false
 
   /**
    * `options`: id, service, address, zone, slots, queue, workMs, store (a `Store`), record (function), coldPerSecond
-   * (requests in one second that it tolerates while it is cold; absent: any number).
+   * (requests in one second that it tolerates while it is cold; absent: any number), answerBytes (size of its answers).
    */
   constructor (options) {
     this.options = options
@@ -49,18 +51,65 @@
     this.#server.keepAliveTimeout = 10_000
     this.#server.requestTimeout = 0
     await new Promise((resolve, reject) => { this.#server.once('error', reject).listen(Number(port), host, 1_024, resolve) })
-    this.register()
-    this.#beat = setInterval(() => this.register(), HEARTBEAT_MS)
+    this.#beatNow()
   }
 
-  /** Writes the entry; returns when the store has accepted it. */
-  register () {
+  /**
+   * Writes the entry; returns when the store has accepted it. With `lateMs`, the answer to this write is lost and the store
+   * executes it so much later, whatever happens to the backend meanwhile.
+   */
+  register (lateMs = 0) {
     if (this.isDown) return
-    const { id, service, address, zone, slots, store } = this.options
+    const { id, service, address, zone, slots, store, record } = this.options
     this.#sequence += 1
-    store.put('servers', id, {
+    const entry = {
       service, address, zone, version: 'v1', slots, state: this.#state, cold_remaining_s: Math.max(0, this.#coldUntil - performance.now()) / 1_000, sequence: this.#sequence, born: this.#born
-    })
+    }
+    const { state, sequence, born } = entry
+    const write = () => {
+      store.put('servers', id, entry)
+      record('entry-written', { backend: id, state, sequence, born, coldS: entry.cold_remaining_s, lateMs })
+    }
+    if (lateMs === 0) write()
+    else setTimeout(write, lateMs)
+  }
+
+  /** Reports that it is leaving, serves on and exits after `exitMs`. */
+  drain (exitMs) {
+    this.#state = 'draining'
+    this.#beatNow()
+    setTimeout(() => this.#exit(), exitMs)
+  }
+
+  /** Starts again under the same identifier and address: it knows nothing of before, and is cold. */
+  async restart (coldMs) {
+    this.#sequence = 0
+    this.#state = 'ready'
+    this.#born = Date.now()
+    this.#running = 0
+    this.#waiting = []
+    this.#arrivals = []
+    this.isDown = false
+    this.#life += 1
+    this.#coldUntil = performance.now() + coldMs
+    await this.start()
+  }
+
+  #beatNow () {
+    clearInterval(this.#beat)
+    this.register()
+    this.#beat = setInterval(() => this.register(), HEARTBEAT_MS)
+  }
+
+  #exit () {
+    if (this.isDown) return
+    this.isDown = true
+    clearInterval(this.#beat)
+    const { id, store, record } = this.options
+    store.remove('servers', id)
+    record('backend-exited', { backend: id, running: this.#running })
+    this.#server.close()
+    this.#server.closeAllConnections()
   }
 
   /** Becomes cold, in the same process, and says so in its entry at once. */
@@ -143,11 +192,13 @@
   #run (request, response, id, bytes, digest) {
     const { record, workMs } = this.options
     this.#running += 1
+    const life = this.#life
     record('runs', { backend: this.id, id, method: request.method, path: request.url, bytes, digest })
     setTimeout(() => {
+      if (life !== this.#life) return
       this.#running -= 1
       if (this.isDown) return
-      const body = `${id} by ${this.id}`
+      const body = `${id} by ${this.id}`.padEnd(this.options.answerBytes ?? 0, '.')
       record('answers', { backend: this.id, id })
       response.writeHead(200, { ...this.#headers(id), 'arbutustray-response-signature': sign(id, 200, body), 'content-length': Buffer.byteLength(body) }).end(body)
       this.#waiting.shift()?.()
