--- a/review/standins-2/scene.js
+++ b/review/standins-2/scene.js
@@ -6,6 +6,7 @@
 import { join } from 'node:path'
 import { createHosts, Machine, sleep } from './platform.js'
 import { Backend } from './backend.js'
+import { Link } from './link.js'
 import { Store } from './store.js'
 
 export const HOST = 'towpath.example'
@@ -36,6 +37,7 @@
 export class Scene {
   machines = []
   backends = []
+  links = []
   #lines = []
   #ids = new Map()
   #events = []
@@ -83,25 +85,37 @@
     return backend
   }
 
-  /** Starts one machine in each of the zones; resolves when all are ready. */
+  /**
+   * Starts one machine in each of the zones; resolves when all are ready. With `hasStoreLinks`, each reaches the store through a
+   * link of its own.
+   */
   async startMachines (zones, options = {}) {
     const hosts = []
     for (let index = 0; index < zones.length; index += 1) hosts.push(await this.#nextHost(8_161, 8_164, 8_166, 8_167, 9_464))
     const seeds = hosts.slice(0, 3).map(host => `${host}:8166`)
     for (const [index, zone] of zones.entries()) {
-      const machine = new Machine({ name: `front-${zone}-${index + 1}`, zone, zones: ZONES, host: hosts[index], store: this.store.address, seeds, folder: this.#folder, record: this.record, ...options })
+      const link = options.hasStoreLinks ? await this.#openLink(this.store.address) : undefined
+      const machine = new Machine({ name: `front-${zone}-${index + 1}`, zone, zones: ZONES, host: hosts[index], store: link?.address ?? this.store.address, storeLink: link, seeds, folder: this.#folder, record: this.record, ...options })
       this.machines.push(machine)
       machine.start()
     }
     await Promise.all(this.machines.map(async machine => await machine.untilReady()))
   }
 
+  async #openLink (target) {
+    const link = new Link(`${await this.#nextHost(8_169)}:8169`, target)
+    await link.listen()
+    this.links.push(link)
+    return link
+  }
+
   /** Runs `play`, which returns whether the rule was broken and a summary, and exits. */
   async run (play) {
     if (!existsSync('target/launcher.cjs')) {
       process.stderr.write('target/launcher.cjs is missing: run the build of the deploy file in the root of the repository\n')
       process.exit(NOT_RUN)
     }
+    for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(NOT_RUN))
     let code = NOT_RUN
     let timer
     try {
@@ -118,6 +132,7 @@
     clearTimeout(timer)
     for (const backend of this.backends) backend.stop()
     await Promise.all(this.machines.map(async machine => await machine.end()))
+    this.links.forEach(link => link.close())
     this.store.close()
     writeFileSync(this.recordPath, `${this.#lines.join('\n')}\n`)
     rmSync(this.#folder, { recursive: true, force: true })
